Serve a request through daemons on two services

The repository was empty. This adds the layers (decision, filter, controller, shell), a platform and a backend server stand-in, and a demo that sends one request through two services and prints a span for each hop.

--- /dev/null
+++ b/src/controller/gate_controller.rs
@@ -0,0 +1,149 @@
+//! Connects waiting requests with the admission gate.
+
+use crate::{
+    common::*,
+    decision::{
+        admission::admission_gate::{
+            AdmissionGate, GateDecision, GateKey, GateRequest, ShedReason, WorkResult,
+        },
+        clock::Clock,
+        profile::service_profile::AdmissionLimits,
+        request_priority::RequestPriority,
+    },
+};
+use tokio::sync::oneshot;
+
+type Verdict = Result<(), ShedReason>;
+
+#[derive(Debug)]
+struct GateState {
+    gate: AdmissionGate,
+    waiters: IndexMap<GateKey, oneshot::Sender<Verdict>>,
+}
+
+/// Admission gate with the requests that wait for its decisions.
+pub struct GateController {
+    state: Mutex<GateState>,
+    clock: Arc<dyn Clock>,
+}
+
+/// Slot of the backend server. Dropping it counts the request as aborted.
+pub struct GatePermit {
+    controller: Arc<GateController>,
+    key: Option<GateKey>,
+}
+
+impl GateController {
+    /// Creates a controller with an empty gate.
+    pub fn new(limits: AdmissionLimits, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            state: Mutex::new(GateState {
+                gate: AdmissionGate::new(limits),
+                waiters: IndexMap::new(),
+            }),
+            clock,
+        }
+    }
+
+    /// Waits for a slot. Dropping the future withdraws the request.
+    pub async fn admit(self: &Arc<Self>, request: GateRequest) -> Result<GatePermit, ShedReason> {
+        let (sender, receiver) = oneshot::channel();
+        let key = {
+            let mut state = self.state.lock();
+            let now = self.clock.now();
+            let key = state.gate.offer(request, now);
+            state.waiters.insert(key, sender);
+            state.dispatch(now);
+            key
+        };
+        let mut permit = GatePermit {
+            controller: Arc::clone(self),
+            key: Some(key),
+        };
+        match receiver.await {
+            Ok(Ok(())) => Ok(permit),
+            Ok(Err(reason)) => {
+                permit.key = None;
+                Err(reason)
+            }
+            Err(_) => Err(ShedReason::QueueFull),
+        }
+    }
+
+    /// Applies decisions that depend on the time alone.
+    pub fn tick(&self) {
+        let mut state = self.state.lock();
+        let now = self.clock.now();
+        state.dispatch(now);
+    }
+
+    /// Puts the bounds of a new profile in force.
+    pub fn set_limits(&self, limits: AdmissionLimits) {
+        self.state.lock().gate.set_limits(limits);
+    }
+
+    /// Returns the lowest priority that is admitted now.
+    pub fn threshold(&self) -> RequestPriority {
+        self.state.lock().gate.threshold()
+    }
+
+    /// Returns requests in flight, requests that wait, and the concurrency limit.
+    pub fn load(&self) -> GateLoad {
+        let state = self.state.lock();
+        GateLoad {
+            in_flight: state.gate.in_flight(),
+            queued: state.gate.queued(),
+            limit: state.gate.limit(),
+        }
+    }
+
+    fn finish(&self, key: GateKey, result: WorkResult) {
+        let mut state = self.state.lock();
+        let now = self.clock.now();
+        state.waiters.swap_remove(&key);
+        state.gate.finish(key, result, now);
+        state.dispatch(now);
+    }
+}
+
+/// Load of the own backend server.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct GateLoad {
+    /// Requests that the backend server works on.
+    pub in_flight: u32,
+    /// Requests that wait for a slot.
+    pub queued: usize,
+    /// Concurrency limit in force.
+    pub limit: u32,
+}
+
+impl GateState {
+    fn dispatch(&mut self, now: Instant) {
+        for decision in self.gate.poll(now) {
+            let (key, verdict) = match decision {
+                GateDecision::Start(key) => (key, Ok(())),
+                GateDecision::Shed(key, reason) => (key, Err(reason)),
+            };
+            if let Some(waiter) = self.waiters.swap_remove(&key) {
+                let _ = waiter.send(verdict);
+            }
+        }
+    }
+}
+
+impl GatePermit {
+    /// Gives the slot back with the result of the work.
+    pub fn finish(mut self, result: WorkResult) {
+        if let Some(key) = self.key.take() {
+            self.controller.finish(key, result);
+        }
+    }
+}
+
+impl Drop for GatePermit {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            self.controller.finish(key, WorkResult::Aborted);
+        }
+    }
+}
--- /dev/null
+++ b/src/decision.rs
@@ -0,0 +1,10 @@
+//! Decisions as plain code: events and the time in, results out, without I/O or threads.
+
+pub mod admission;
+pub mod clock;
+pub mod profile;
+pub mod request_context;
+pub mod request_priority;
+pub mod retry;
+pub mod routing;
+pub mod run_outcome;
--- /dev/null
+++ b/src/decision/profile.rs
@@ -0,0 +1,4 @@
+//! Named overload profiles.
+
+pub mod route_rule;
+pub mod service_profile;
--- /dev/null
+++ b/src/decision/profile/route_rule.rs
@@ -0,0 +1,55 @@
+//! Rule of a profile for the requests of one route.
+
+use crate::common::*;
+
+/// Whether a request of a route needs a ticket.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum TicketRule {
+    /// Tickets are honoured but not needed.
+    #[default]
+    Optional,
+    /// A request without a ticket is refused.
+    Required,
+}
+
+/// Rule for the requests that match a method and a path prefix.
+#[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RouteRule {
+    /// HTTP method; absent matches every method.
+    #[serde(default)]
+    pub method: Option<SmolStr>,
+    /// Path prefix, matched on whole segments.
+    pub path: SmolStr,
+    /// Name of a class of the profile.
+    pub class: SmolStr,
+    /// Whether a request may run more than once.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Ticket rule.
+    #[serde(default)]
+    pub ticket: TicketRule,
+    /// Deadline of a root request on this route, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u32,
+}
+
+/// Deadline of a root request on a route that names none, in milliseconds.
+fn default_deadline_ms() -> u32 {
+    2_000
+}
+
+impl RouteRule {
+    /// Returns whether the rule matches a request.
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        let is_method = self.method.as_ref().is_none_or(|name| name == method);
+        is_method && self.matches_path(path)
+    }
+
+    fn matches_path(&self, path: &str) -> bool {
+        let prefix = self.path.trim_end_matches('/');
+        path.strip_prefix(prefix)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+}
--- /dev/null
+++ b/src/decision/retry.rs
@@ -0,0 +1,3 @@
+//! Bounds on extra attempts.
+
+pub mod attempt_ledger;
--- /dev/null
+++ b/src/decision/routing.rs
@@ -0,0 +1,3 @@
+//! Choice of the upstream for a call.
+
+pub mod upstream_set;
--- /dev/null
+++ b/src/filter/classify_filter.rs
@@ -0,0 +1,74 @@
+//! Second filter: class, deadline and allowance of a root request.
+
+use crate::{
+    common::*,
+    decision::{
+        profile::service_profile::ServiceProfile, request_context::RequestContext,
+        request_priority::RequestPriority,
+    },
+    filter::{identify_filter::CallState, refusal::RefusalError},
+    shell::daemon::DaemonState,
+};
+use futures_util::FutureExt;
+use gotham::{
+    handler::HandlerFuture,
+    middleware::{Middleware, NewMiddleware},
+    state::State,
+};
+use http::{Method, Uri};
+use std::pin::Pin;
+
+/// Deadline of requests that match no route.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Applies the profile of the own service to a request.
+#[derive(Clone, NewMiddleware)]
+pub struct ClassifyFilter {
+    /// State of the daemon.
+    pub daemon: Arc<DaemonState>,
+}
+
+impl Middleware for ClassifyFilter {
+    fn call<Chain>(self, mut state: State, chain: Chain) -> Pin<Box<HandlerFuture>>
+    where
+        Chain: FnOnce(State) -> Pin<Box<HandlerFuture>> + Send + 'static,
+    {
+        async move {
+            let service = &self.daemon.settings.service;
+            let Some(in_force) = self.daemon.profiles.get(service) else {
+                let error = RefusalError::NoProfile(service.clone());
+                return Ok((state, error.to_response()));
+            };
+            let method = state.borrow::<Method>().clone();
+            let uri = state.borrow::<Uri>().clone();
+            let now = self.daemon.clock.now();
+            let context = &mut state.borrow_mut::<CallState>().0;
+            if context.is_entry {
+                apply_profile(context, &in_force.profile, method.as_str(), uri.path(), now);
+            }
+            chain(state).await
+        }
+        .boxed()
+    }
+}
+
+/// Sets the class, the deadline and the allowance of a root request.
+pub fn apply_profile(
+    context: &mut RequestContext,
+    profile: &ServiceProfile,
+    method: &str,
+    path: &str,
+    now: Instant,
+) {
+    let rule = profile.rule(method, path);
+    let limit = rule.map_or(DEFAULT_DEADLINE, |rule| {
+        Duration::from_millis(rule.deadline_ms.into())
+    });
+    context.deadline = context.deadline.min(now + limit);
+    context.allowance = profile.retry.allowance;
+    context.priority = RequestPriority::for_request(
+        profile.class_level(rule),
+        context.priority.retry,
+        context.request.0,
+    );
+}
--- /dev/null
+++ b/src/filter/inbound_chain.rs
@@ -0,0 +1,64 @@
+//! Filter chain for requests to the own backend server.
+
+use crate::{
+    common::*,
+    filter::{
+        admission_filter::AdmissionFilter,
+        backend_handler::BackendHandler,
+        classify_filter::ClassifyFilter,
+        identify_filter::{IdentifyFilter, RequestOrigin},
+        ledger_filter::LedgerFilter,
+    },
+    shell::daemon::DaemonState,
+};
+use gotham::{
+    pipeline::{new_pipeline, single_pipeline},
+    router::{
+        Router,
+        builder::{DefineSingleRoute, DrawRoutes, build_router},
+    },
+};
+use http::Method;
+
+/// Methods that pass the chain.
+pub fn methods() -> Vec<Method> {
+    vec![
+        Method::GET,
+        Method::HEAD,
+        Method::POST,
+        Method::PUT,
+        Method::PATCH,
+        Method::DELETE,
+        Method::OPTIONS,
+    ]
+}
+
+/// Builds the chain for a listener.
+pub fn inbound_chain(daemon: &Arc<DaemonState>, origin: RequestOrigin) -> Router {
+    let (chain, pipelines) = single_pipeline(
+        new_pipeline()
+            .add(IdentifyFilter {
+                daemon: Arc::clone(daemon),
+                origin,
+            })
+            .add(ClassifyFilter {
+                daemon: Arc::clone(daemon),
+            })
+            .add(LedgerFilter {
+                daemon: Arc::clone(daemon),
+            })
+            .add(AdmissionFilter {
+                daemon: Arc::clone(daemon),
+            })
+            .build(),
+    );
+    let handler = BackendHandler {
+        daemon: Arc::clone(daemon),
+    };
+    build_router(chain, pipelines, |route| {
+        for path in ["/", "/*"] {
+            let handler = handler.clone();
+            route.request(methods(), path).to_new_handler(handler);
+        }
+    })
+}
--- /dev/null
+++ b/src/filter/response_body.rs
@@ -0,0 +1,75 @@
+//! Body of an answer that keeps state alive until its end.
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::Incoming;
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+/// Streams the body of an answer and calls a function once at its end.
+///
+/// The function gets true when the body was complete, and false when it was cut short or the
+/// receiver went away.
+pub struct TrackedBody<F: FnOnce(bool) + Send + Unpin> {
+    inner: Incoming,
+    on_end: Option<F>,
+}
+
+impl<F: FnOnce(bool) + Send + Unpin + 'static> TrackedBody<F> {
+    /// Wraps a body.
+    pub fn wrap(inner: Incoming, on_end: F) -> Body {
+        let mut body = Self {
+            inner,
+            on_end: Some(on_end),
+        };
+        if body.inner.is_end_stream() {
+            body.end(true);
+        }
+        Body::new(body)
+    }
+}
+
+impl<F: FnOnce(bool) + Send + Unpin> TrackedBody<F> {
+    fn end(&mut self, is_complete: bool) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(is_complete);
+        }
+    }
+}
+
+impl<F: FnOnce(bool) + Send + Unpin> HttpBody for TrackedBody<F> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => self.end(true),
+            Poll::Ready(Some(Err(_))) => self.end(false),
+            Poll::Ready(Some(Ok(_))) if self.inner.is_end_stream() => self.end(true),
+            _ => {}
+        }
+        polled.map(|frame| frame.map(|frame| frame.map_err(io::Error::other)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl<F: FnOnce(bool) + Send + Unpin> Drop for TrackedBody<F> {
+    fn drop(&mut self) {
+        self.end(false);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! Overload control layer for service call graphs.
+//!
+//! One daemon runs beside each backend server instance. [`decision`] holds the decisions as plain
+//! code without I/O, [`filter`] the request filter chain, [`controller`] the state controllers and
+//! [`shell`] the sockets, metrics, traces and signals.
+
+pub mod controller;
+pub mod decision;
+pub mod filter;
+pub mod settings;
+pub mod shell;
+pub mod standin;
+pub mod subcommand;
+
+mod common;
+
+pub use subcommand::run;
--- /dev/null
+++ b/src/shell.rs
@@ -0,0 +1,9 @@
+//! Sockets, settings, logs, metrics, traces and signals.
+
+pub mod admin_server;
+pub mod daemon;
+pub mod header_names;
+pub mod http_client;
+pub mod http_server;
+pub mod platform_client;
+pub mod span_recorder;
--- /dev/null
+++ b/src/standin/backend_server.rs
@@ -0,0 +1,156 @@
+//! Stand-in for a backend server.
+
+use crate::{
+    common::*,
+    shell::{header_names, http_client::HttpClient},
+};
+use futures_util::FutureExt;
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    state::{FromState, State},
+};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header::HOST};
+use http_body_util::{BodyExt, Full};
+use std::{
+    panic::RefUnwindSafe,
+    pin::Pin,
+    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+};
+use tokio::sync::Semaphore;
+
+/// Call that the stand-in makes while it works on a request.
+#[derive(Clone, Debug)]
+pub struct DownstreamCall {
+    /// Called service.
+    pub service: SmolStr,
+    /// Path of the call.
+    pub path: SmolStr,
+}
+
+/// Behaviour of a stand-in.
+#[derive(Clone, Debug)]
+pub struct BackendBehaviour {
+    /// Requests that are worked on at once; further ones wait.
+    pub slots: usize,
+    /// Time spent on each request, without its calls.
+    pub service_time: Duration,
+    /// Calls made one after the other for each request.
+    pub calls: Vec<DownstreamCall>,
+}
+
+#[derive(Debug)]
+struct BackendState {
+    behaviour: BackendBehaviour,
+    outbound: SocketAddr,
+    client: HttpClient,
+    slots: Semaphore,
+    slowdown: AtomicU32,
+    runs: AtomicU64,
+}
+
+/// Backend server that works for a fixed time and calls other services; clones share its state.
+#[derive(Clone, Debug)]
+pub struct BackendServer {
+    state: Arc<BackendState>,
+}
+
+impl RefUnwindSafe for BackendServer {}
+
+impl BackendServer {
+    /// Creates a stand-in that sends its calls to the outbound listener of its daemon.
+    pub fn new(behaviour: BackendBehaviour, outbound: SocketAddr) -> Self {
+        Self {
+            state: Arc::new(BackendState {
+                slots: Semaphore::new(behaviour.slots),
+                behaviour,
+                outbound,
+                client: HttpClient::new(),
+                slowdown: AtomicU32::new(1),
+                runs: AtomicU64::new(0),
+            }),
+        }
+    }
+
+    /// Multiplies the service time of later requests.
+    pub fn set_slowdown(&self, factor: u32) {
+        self.state.slowdown.store(factor, Ordering::Relaxed);
+    }
+
+    /// Returns the requests that were started so far.
+    pub fn runs(&self) -> u64 {
+        self.state.runs.load(Ordering::Relaxed)
+    }
+
+    async fn work(&self, headers: &HeaderMap, path: &str) -> StatusCode {
+        let state = &self.state;
+        let Ok(_slot) = state.slots.acquire().await else {
+            return StatusCode::SERVICE_UNAVAILABLE;
+        };
+        state.runs.fetch_add(1, Ordering::Relaxed);
+        let slowdown = state.slowdown.load(Ordering::Relaxed);
+        tokio::time::sleep(state.behaviour.service_time * slowdown).await;
+        for call in &state.behaviour.calls {
+            let status = self.call(headers, call).await;
+            if !status.is_success() {
+                log::debug!("backend: The call to {} for {path} failed.", call.service);
+                return StatusCode::BAD_GATEWAY;
+            }
+        }
+        StatusCode::OK
+    }
+
+    async fn call(&self, headers: &HeaderMap, call: &DownstreamCall) -> StatusCode {
+        let mut request = Request::new(Body::default());
+        *request.method_mut() = Method::GET;
+        let uri = format!("http://{}{}", self.state.outbound, call.path);
+        let Ok(uri) = uri.parse() else {
+            return StatusCode::BAD_REQUEST;
+        };
+        *request.uri_mut() = uri;
+        if let Ok(host) = call.service.parse() {
+            request.headers_mut().insert(HOST, host);
+        }
+        if let Some(copied) = headers.get(header_names::REQUEST) {
+            request
+                .headers_mut()
+                .insert(header_names::REQUEST, copied.clone());
+        }
+        let Ok(response) = self.state.client.send(self.state.outbound, request).await else {
+            return StatusCode::BAD_GATEWAY;
+        };
+        let status = response.status();
+        match response.into_body().collect().await {
+            Ok(_) => status,
+            Err(_) => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+impl NewHandler for BackendServer {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for BackendServer {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        async move {
+            let headers = HeaderMap::borrow_from(&state).clone();
+            let path = Uri::borrow_from(&state).path().to_owned();
+            let body = Body::take_from(&mut state).collect().await;
+            let status = match body {
+                Ok(_) => self.work(&headers, &path).await,
+                Err(_) => StatusCode::BAD_REQUEST,
+            };
+            let text = format!("{path}\n");
+            let body = Full::from(text).map_err(|never| match never {});
+            let mut response = Response::new(Body::new(body));
+            *response.status_mut() = status;
+            Ok((state, response))
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/src/standin/platform_service.rs
@@ -0,0 +1,193 @@
+//! Stand-in for the platform's configuration service.
+
+use crate::{
+    common::*,
+    shell::platform_client::{IndexChange, KeyVersion},
+};
+use futures_util::FutureExt;
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    state::{FromState, State},
+};
+use http::{HeaderValue, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use sha2::{Digest, Sha256};
+use std::{panic::RefUnwindSafe, pin::Pin};
+use tokio::sync::watch;
+
+#[derive(Clone, Debug)]
+struct PublishedValue {
+    version: u64,
+    changed: u64,
+    digest: SmolStr,
+    text: String,
+}
+
+#[derive(Debug, Default)]
+struct PlatformState {
+    revision: u64,
+    values: IndexMap<SmolStr, PublishedValue>,
+    reads: u64,
+    is_down: bool,
+}
+
+/// Catalogue of the stand-in; clones share it.
+#[derive(Clone, Debug)]
+pub struct PlatformService {
+    state: Arc<Mutex<PlatformState>>,
+    revision: watch::Sender<u64>,
+}
+
+impl RefUnwindSafe for PlatformService {}
+
+impl PlatformService {
+    /// Creates an empty catalogue.
+    pub fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            revision: watch::Sender::new(0),
+        }
+    }
+
+    /// Publishes a value under the next version of its key.
+    pub fn publish(&self, key: &str, text: impl Into<String>) {
+        let text = text.into();
+        let mut state = self.state.lock();
+        state.revision += 1;
+        let changed = state.revision;
+        let version = state.values.get(key).map_or(1, |value| value.version + 1);
+        let value = PublishedValue {
+            version,
+            changed,
+            digest: hex_digest(text.as_bytes()),
+            text,
+        };
+        state.values.insert(key.into(), value);
+        self.revision.send_replace(changed);
+    }
+
+    /// Makes the service refuse all calls, or answer them again.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.lock().is_down = is_down;
+    }
+
+    /// Returns the calls answered so far, waiting watches included.
+    pub fn reads(&self) -> u64 {
+        self.state.lock().reads
+    }
+
+    fn change_since(&self, revision: u64) -> IndexChange {
+        let state = self.state.lock();
+        let keys = state
+            .values
+            .iter()
+            .filter(|(_, value)| value.changed > revision)
+            .map(|(key, value)| KeyVersion {
+                key: key.clone(),
+                version: value.version,
+                digest: value.digest.clone(),
+            })
+            .collect();
+        IndexChange {
+            revision: state.revision,
+            keys,
+        }
+    }
+
+    async fn watch(&self, query: &str) -> Response<Body> {
+        let after = query_number(query, "after");
+        let wait = Duration::from_millis(query_number(query, "wait_ms"));
+        let mut receiver = self.revision.subscribe();
+        let _ = tokio::time::timeout(wait, receiver.wait_for(|latest| *latest > after)).await;
+        json(&self.change_since(after))
+    }
+
+    fn value(&self, key: &str) -> Response<Body> {
+        let state = self.state.lock();
+        let Some(value) = state.values.get(key) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let mut response = Response::new(full(value.text.clone()));
+        response
+            .headers_mut()
+            .insert("x-version", HeaderValue::from(value.version));
+        response
+    }
+
+    async fn answer(&self, uri: &Uri) -> Response<Body> {
+        {
+            let mut state = self.state.lock();
+            state.reads += 1;
+            if state.is_down {
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+        }
+        let path = uri.path();
+        if let Some(key) = path.strip_prefix("/v1/values/") {
+            return self.value(key);
+        }
+        match path {
+            "/v1/index" => json(&self.change_since(0)),
+            "/v1/watch" => self.watch(uri.query().unwrap_or_default()).await,
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Default for PlatformService {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl NewHandler for PlatformService {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for PlatformService {
+    fn handle(self, state: State) -> Pin<Box<HandlerFuture>> {
+        async move {
+            let uri = Uri::borrow_from(&state).clone();
+            let response = self.answer(&uri).await;
+            Ok((state, response))
+        }
+        .boxed()
+    }
+}
+
+fn hex_digest(bytes: &[u8]) -> SmolStr {
+    let digest = Sha256::digest(bytes);
+    digest
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect::<String>()
+        .into()
+}
+
+fn query_number(query: &str, name: &str) -> u64 {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or_default()
+}
+
+fn full(text: impl Into<bytes::Bytes>) -> Body {
+    Body::new(Full::new(text.into()).map_err(|never| match never {}))
+}
+
+fn json(value: &impl Serialize) -> Response<Body> {
+    Response::new(full(serde_json::to_vec(value).unwrap_or_default()))
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    *response.status_mut() = code;
+    response
+}
--- /dev/null
+++ b/src/standin/service_chain.rs
@@ -0,0 +1,242 @@
+//! Small call chain on loopback: a platform, services, daemons and backend servers.
+
+use crate::{
+    common::*,
+    settings::DaemonSettings,
+    shell::{
+        daemon::{self, DaemonError},
+        http_server,
+    },
+    standin::{
+        backend_server::{BackendBehaviour, BackendServer},
+        platform_service::PlatformService,
+    },
+};
+use std::{io, net::Ipv4Addr, path::PathBuf};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+
+/// Interval of the checks whether a daemon is ready.
+const READY_POLL: Duration = Duration::from_millis(10);
+
+/// Describes a chain before it starts.
+#[derive(Debug, Default)]
+pub struct ChainBuilder {
+    profiles: Vec<(SmolStr, String)>,
+    services: Vec<ServicePlan>,
+    trace_file: Option<PathBuf>,
+}
+
+#[derive(Debug)]
+struct ServicePlan {
+    name: SmolStr,
+    profile: SmolStr,
+    instances: usize,
+    behaviour: BackendBehaviour,
+}
+
+/// Daemon of a chain with its backend server.
+#[derive(Debug)]
+pub struct ChainInstance {
+    /// Settings of the daemon.
+    pub settings: DaemonSettings,
+    /// Backend server beside the daemon.
+    pub backend: BackendServer,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<Result<(), DaemonError>>,
+}
+
+/// Running chain.
+#[derive(Debug)]
+pub struct ServiceChain {
+    /// Platform that the daemons read.
+    pub platform: PlatformService,
+    /// Instances in the order of the builder.
+    pub instances: Vec<ChainInstance>,
+    stop: watch::Sender<bool>,
+}
+
+impl ChainBuilder {
+    /// Publishes a profile before the daemons start.
+    pub fn profile(mut self, name: &str, text: impl Into<String>) -> Self {
+        self.profiles.push((name.into(), text.into()));
+        self
+    }
+
+    /// Adds a service; services that it calls must be added, too.
+    pub fn service(
+        mut self,
+        name: &str,
+        profile: &str,
+        instances: usize,
+        behaviour: BackendBehaviour,
+    ) -> Self {
+        self.services.push(ServicePlan {
+            name: name.into(),
+            profile: profile.into(),
+            instances,
+            behaviour,
+        });
+        self
+    }
+
+    /// Writes the spans of all daemons to a file.
+    pub fn trace_file(mut self, path: PathBuf) -> Self {
+        self.trace_file = Some(path);
+        self
+    }
+
+    /// Starts the chain and waits until each daemon has a profile in force.
+    pub async fn start(self) -> io::Result<ServiceChain> {
+        let stop = watch::Sender::new(false);
+        let platform = PlatformService::new();
+        let listener = loopback_listener().await?;
+        let platform_address = listener.local_addr()?;
+        let served = platform.clone();
+        tokio::spawn(http_server::serve(listener, served, stop.subscribe()));
+        for (name, text) in &self.profiles {
+            platform.publish(&format!("profiles/{name}"), text);
+        }
+        let plans = self.instance_plans(platform_address).await?;
+        publish_services(&platform, &self.services, &plans);
+        let mut instances = Vec::new();
+        for (settings, behaviour) in plans {
+            instances.push(start_instance(settings, behaviour, &stop).await?);
+        }
+        let chain = ServiceChain {
+            platform,
+            instances,
+            stop,
+        };
+        chain.wait_ready().await;
+        Ok(chain)
+    }
+
+    async fn instance_plans(
+        &self,
+        platform: SocketAddr,
+    ) -> io::Result<Vec<(DaemonSettings, BackendBehaviour)>> {
+        let mut plans = Vec::new();
+        for plan in &self.services {
+            for index in 1..=plan.instances {
+                let mut settings = instance_settings(plan, index, platform).await?;
+                settings.trace_file = self.trace_file.clone();
+                plans.push((settings, plan.behaviour.clone()));
+            }
+        }
+        Ok(plans)
+    }
+}
+
+impl ServiceChain {
+    /// Starts the description of a chain.
+    pub fn builder() -> ChainBuilder {
+        ChainBuilder::default()
+    }
+
+    /// Returns the instances of a service.
+    pub fn service<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a ChainInstance> {
+        self.instances
+            .iter()
+            .filter(move |instance| instance.settings.service == name)
+    }
+
+    /// Drains all daemons, then ends the backend servers and the platform.
+    pub async fn stop(self) {
+        for instance in self.instances {
+            instance.stop.send_replace(true);
+            let _ = instance.task.await;
+        }
+        self.stop.send_replace(true);
+    }
+
+    async fn wait_ready(&self) {
+        for instance in &self.instances {
+            while tokio::net::TcpStream::connect(instance.settings.edge)
+                .await
+                .is_err()
+            {
+                tokio::time::sleep(READY_POLL).await;
+            }
+        }
+        // A daemon opens its listeners before it has read the platform.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+async fn start_instance(
+    settings: DaemonSettings,
+    behaviour: BackendBehaviour,
+    chain_stop: &watch::Sender<bool>,
+) -> io::Result<ChainInstance> {
+    let backend = BackendServer::new(behaviour, settings.outbound);
+    let listener = TcpListener::bind(settings.backend).await?;
+    tokio::spawn(http_server::serve(
+        listener,
+        backend.clone(),
+        chain_stop.subscribe(),
+    ));
+    let stop = watch::Sender::new(false);
+    let task = tokio::spawn(daemon::run(settings.clone(), stop.subscribe()));
+    Ok(ChainInstance {
+        settings,
+        backend,
+        stop,
+        task,
+    })
+}
+
+fn publish_services(
+    platform: &PlatformService,
+    services: &[ServicePlan],
+    plans: &[(DaemonSettings, BackendBehaviour)],
+) {
+    for plan in services {
+        let selection = format!("profile = \"{}\"", plan.profile);
+        platform.publish(&format!("services/{}", plan.name), selection);
+        let list: String = plans
+            .iter()
+            .filter(|(settings, _)| settings.service == plan.name)
+            .map(|(settings, _)| instance_entry(settings))
+            .collect();
+        platform.publish(&format!("instances/{}", plan.name), list);
+    }
+}
+
+fn instance_entry(settings: &DaemonSettings) -> String {
+    format!(
+        "[[instances]]\ninstance = \"{}\"\ndata_centre = \"{}\"\npeer = \"{}\"\ncontrol = \"{}\"\n",
+        settings.instance, settings.data_centre, settings.peer, settings.control
+    )
+}
+
+async fn instance_settings(
+    plan: &ServicePlan,
+    index: usize,
+    platform: SocketAddr,
+) -> io::Result<DaemonSettings> {
+    let calls = plan.behaviour.calls.iter();
+    Ok(DaemonSettings {
+        cluster: "loopback".into(),
+        data_centre: "dc-1".into(),
+        instance: format!("{}-{index}", plan.name).into(),
+        service: plan.name.clone(),
+        backend: free_address().await?,
+        edge: free_address().await?,
+        peer: free_address().await?,
+        outbound: free_address().await?,
+        control: free_address().await?,
+        admin: free_address().await?,
+        platform,
+        seed_peers: Vec::new(),
+        calls: calls.map(|call| call.service.clone()).collect(),
+        trace_file: None,
+    })
+}
+
+async fn loopback_listener() -> io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
+}
+
+async fn free_address() -> io::Result<SocketAddr> {
+    loopback_listener().await?.local_addr()
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,52 @@
+//! Requests through real daemons, backend servers and a platform on loopback.
+
+use gotham::helpers::http::Body;
+use http::Request;
+use skylarkstream::{
+    shell::{header_names, http_client::HttpClient},
+    standin::{
+        backend_server::{BackendBehaviour, DownstreamCall},
+        service_chain::ServiceChain,
+    },
+};
+use std::time::Duration;
+
+const PROFILE: &str = r#"
+name = "dispatch"
+default_class = "roster"
+classes = { assignment = 0, roster = 3 }
+"#;
+
+/// Guards against a break anywhere on the path from the caller to the second service.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_runs_on_both_services() {
+    let leaf = BackendBehaviour {
+        slots: 4,
+        service_time: Duration::from_millis(1),
+        calls: Vec::new(),
+    };
+    let entry = BackendBehaviour {
+        calls: vec![DownstreamCall {
+            service: "stand-status".into(),
+            path: "/stands/4".into(),
+        }],
+        ..leaf.clone()
+    };
+    let chain = ServiceChain::builder()
+        .profile("dispatch", PROFILE)
+        .service("tug-dispatch", "dispatch", 1, entry)
+        .service("stand-status", "dispatch", 1, leaf)
+        .start()
+        .await
+        .unwrap();
+    let edge = chain.instances[0].settings.edge;
+    let request = Request::get(format!("http://{edge}/assignments/7"))
+        .body(Body::default())
+        .unwrap();
+    let response = HttpClient::new().send(edge, request).await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()[header_names::OUTCOME], "ran");
+    assert_eq!(chain.instances[0].backend.runs(), 1);
+    assert_eq!(chain.instances[1].backend.runs(), 1);
+    chain.stop().await;
+}
