Compare a surge without and with control in the demo

Cause: the demo sent one request and showed no effect of the control. Change: an open-loop load generator with callers that retry, a router without control as the baseline, a log of service time, and a table of both variants.

--- /dev/null
+++ b/src/experiment.rs
@@ -0,0 +1,6 @@
+//! Load and experiments against a call chain on loopback.
+
+pub mod load_generator;
+pub mod surge_plan;
+pub mod surge_report;
+pub mod work_log;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod controller;
 pub mod decision;
+pub mod experiment;
 pub mod filter;
 pub mod settings;
 pub mod shell;
--- a/src/standin/backend_server.rs
+++ b/src/standin/backend_server.rs
@@ -2,6 +2,9 @@
 
 use crate::{
     common::*,
+    decision::request_context::RequestId,
+    experiment::work_log::WorkLog,
+    filter::request_headers,
     shell::{header_names, http_client::HttpClient},
 };
 use futures_util::FutureExt;
@@ -47,6 +50,7 @@
     slots: Semaphore,
     slowdown: AtomicU32,
     runs: AtomicU64,
+    log: WorkLog,
 }
 
 /// Backend server that works for a fixed time and calls other services; clones share its state.
@@ -60,6 +64,11 @@
 impl BackendServer {
     /// Creates a stand-in that sends its calls to the outbound listener of its daemon.
     pub fn new(behaviour: BackendBehaviour, outbound: SocketAddr) -> Self {
+        Self::with_log(behaviour, outbound, WorkLog::default())
+    }
+
+    /// Creates a stand-in that reports its work to a log.
+    pub fn with_log(behaviour: BackendBehaviour, outbound: SocketAddr, log: WorkLog) -> Self {
         Self {
             state: Arc::new(BackendState {
                 slots: Semaphore::new(behaviour.slots),
@@ -68,6 +77,7 @@
                 client: HttpClient::new(),
                 slowdown: AtomicU32::new(1),
                 runs: AtomicU64::new(0),
+                log,
             }),
         }
     }
@@ -89,7 +99,8 @@
         };
         state.runs.fetch_add(1, Ordering::Relaxed);
         let slowdown = state.slowdown.load(Ordering::Relaxed);
-        tokio::time::sleep(state.behaviour.service_time * slowdown).await;
+        self.spend(headers, state.behaviour.service_time * slowdown)
+            .await;
         for call in &state.behaviour.calls {
             let status = self.call(headers, call).await;
             if !status.is_success() {
@@ -100,6 +111,16 @@
         StatusCode::OK
     }
 
+    async fn spend(&self, headers: &HeaderMap, service_time: Duration) {
+        let request = request_headers::copied_call(headers).map(|(request, _)| request);
+        let _entry = WorkGuard {
+            log: &self.state.log,
+            request,
+            start: Instant::now(),
+        };
+        tokio::time::sleep(service_time).await;
+    }
+
     async fn call(&self, headers: &HeaderMap, call: &DownstreamCall) -> StatusCode {
         let mut request = Request::new(Body::default());
         *request.method_mut() = Method::GET;
@@ -111,10 +132,10 @@
         if let Ok(host) = call.service.parse() {
             request.headers_mut().insert(HOST, host);
         }
-        if let Some(copied) = headers.get(header_names::REQUEST) {
-            request
-                .headers_mut()
-                .insert(header_names::REQUEST, copied.clone());
+        for name in [header_names::REQUEST, header_names::TRACEPARENT] {
+            if let Some(copied) = headers.get(&name) {
+                request.headers_mut().insert(name, copied.clone());
+            }
         }
         let Ok(response) = self.state.client.send(self.state.outbound, request).await else {
             return StatusCode::BAD_GATEWAY;
@@ -127,6 +148,21 @@
     }
 }
 
+/// Logs the time spent, also when the caller cancels the request.
+struct WorkGuard<'a> {
+    log: &'a WorkLog,
+    request: Option<RequestId>,
+    start: Instant,
+}
+
+impl Drop for WorkGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            self.log.add(request, self.start.elapsed());
+        }
+    }
+}
+
 impl NewHandler for BackendServer {
     type Instance = Self;
 
--- a/src/standin/service_chain.rs
+++ b/src/standin/service_chain.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    experiment::work_log::WorkLog,
     settings::DaemonSettings,
     shell::{
         daemon::{self, DaemonError},
@@ -9,9 +10,11 @@
     },
     standin::{
         backend_server::{BackendBehaviour, BackendServer},
+        plain_router::PlainRouter,
         platform_service::PlatformService,
     },
 };
+use gotham::handler::NewHandler;
 use std::{io, net::Ipv4Addr, path::PathBuf};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
@@ -24,6 +27,8 @@
     profiles: Vec<(SmolStr, String)>,
     services: Vec<ServicePlan>,
     trace_file: Option<PathBuf>,
+    log: WorkLog,
+    is_uncontrolled: bool,
 }
 
 #[derive(Debug)]
@@ -85,6 +90,18 @@
         self
     }
 
+    /// Reports the work of all backend servers to a log.
+    pub fn work_log(mut self, log: WorkLog) -> Self {
+        self.log = log;
+        self
+    }
+
+    /// Replaces the daemons by routers without overload control.
+    pub fn uncontrolled(mut self) -> Self {
+        self.is_uncontrolled = true;
+        self
+    }
+
     /// Starts the chain and waits until each daemon has a profile in force.
     pub async fn start(self) -> io::Result<ServiceChain> {
         let stop = watch::Sender::new(false);
@@ -98,9 +115,15 @@
         }
         let plans = self.instance_plans(platform_address).await?;
         publish_services(&platform, &self.services, &plans);
+        let router = self.is_uncontrolled.then(|| plain_router(&plans));
         let mut instances = Vec::new();
         for (settings, behaviour) in plans {
-            instances.push(start_instance(settings, behaviour, &stop).await?);
+            let backend = BackendServer::with_log(behaviour, settings.outbound, self.log.clone());
+            serve_on(settings.backend, backend.clone(), &stop).await?;
+            instances.push(match &router {
+                Some(router) => start_router(settings, backend, router.clone(), &stop).await?,
+                None => start_daemon(settings, backend),
+            });
         }
         let chain = ServiceChain {
             platform,
@@ -163,28 +186,55 @@
     }
 }
 
-async fn start_instance(
-    settings: DaemonSettings,
-    behaviour: BackendBehaviour,
-    chain_stop: &watch::Sender<bool>,
-) -> io::Result<ChainInstance> {
-    let backend = BackendServer::new(behaviour, settings.outbound);
-    let listener = TcpListener::bind(settings.backend).await?;
-    tokio::spawn(http_server::serve(
-        listener,
-        backend.clone(),
-        chain_stop.subscribe(),
-    ));
+async fn serve_on<H: NewHandler + 'static>(
+    address: SocketAddr,
+    handler: H,
+    stop: &watch::Sender<bool>,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(http_server::serve(listener, handler, stop.subscribe()));
+    Ok(())
+}
+
+fn start_daemon(settings: DaemonSettings, backend: BackendServer) -> ChainInstance {
     let stop = watch::Sender::new(false);
     let task = tokio::spawn(daemon::run(settings.clone(), stop.subscribe()));
-    Ok(ChainInstance {
+    ChainInstance {
         settings,
         backend,
         stop,
         task,
+    }
+}
+
+/// Starts a router for the calls of a backend server; callers reach the backend server directly.
+async fn start_router(
+    mut settings: DaemonSettings,
+    backend: BackendServer,
+    router: PlainRouter,
+    stop: &watch::Sender<bool>,
+) -> io::Result<ChainInstance> {
+    settings.edge = settings.backend;
+    serve_on(settings.outbound, router, stop).await?;
+    Ok(ChainInstance {
+        settings,
+        backend,
+        stop: watch::Sender::new(false),
+        task: tokio::spawn(async { Ok(()) }),
     })
 }
 
+fn plain_router(plans: &[(DaemonSettings, BackendBehaviour)]) -> PlainRouter {
+    let mut backends = IndexMap::<_, Vec<_>>::new();
+    for (settings, _) in plans {
+        backends
+            .entry(settings.service.clone())
+            .or_default()
+            .push(settings.backend);
+    }
+    PlainRouter::new(backends)
+}
+
 fn publish_services(
     platform: &PlatformService,
     services: &[ServicePlan],
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -51,9 +51,6 @@
     /// The operating system failed.
     #[error("The operating system reports: {0}")]
     System(#[from] std::io::Error),
-    /// The demo got no answer.
-    #[error("The demo got no answer.")]
-    NoAnswer,
 }
 
 /// Runs the command line and returns its exit code.
--- a/src/subcommand/demo.rs
+++ b/src/subcommand/demo.rs
@@ -1,81 +1,164 @@
-//! `demo`: a small call chain on loopback.
+//! `demo`: a surge through a small call chain on loopback, without and with control.
 
 use super::SubcommandError;
 use crate::{
     common::*,
-    shell::{header_names, http_client::HttpClient},
+    experiment::{
+        load_generator::LoadGenerator,
+        surge_plan::{ClassLoad, SurgePlan},
+        surge_report::{SurgeReport, print_table},
+        work_log::WorkLog,
+    },
     standin::{
         backend_server::{BackendBehaviour, DownstreamCall},
-        service_chain::ServiceChain,
+        service_chain::{ChainBuilder, ServiceChain},
     },
 };
-use gotham::helpers::http::Body;
-use http::{Request, header::HOST};
-use http_body_util::BodyExt;
 use tokio::runtime::Runtime;
 
+/// Factor on the service time of the deepest service during the trigger.
+const SLOWDOWN: u32 = 5;
+
+/// Entry service of the chain.
+const ENTRY: &str = "tug-dispatch";
+
+/// Deepest service of the chain, which slows down.
+const DEEPEST: &str = "crew-roster";
+
 const PROFILE: &str = r#"
 name = "dispatch"
 default_class = "roster"
-[classes]
-assignment = 0
-roster = 3
+classes = { assignment = 0, stand-status = 1, manual = 3, roster = 4 }
+
+[admission]
+initial_concurrency = 8
+min_concurrency = 2
+max_concurrency = 64
+queue_length = 40
+queue_wait_ms = 200
+
 [[routes]]
 path = "/assignments"
 class = "assignment"
 idempotent = true
+deadline_ms = 1000
+
+[[routes]]
+path = "/stands"
+class = "stand-status"
+idempotent = true
+deadline_ms = 1000
+
+[[routes]]
+path = "/manuals"
+class = "manual"
+idempotent = true
+deadline_ms = 1000
+
+[[routes]]
+path = "/rosters"
+class = "roster"
+idempotent = true
+deadline_ms = 1000
 "#;
 
 pub(super) fn demo() -> Result<(), SubcommandError> {
-    Runtime::new()?.block_on(run_chain())
+    Runtime::new()?.block_on(run_demo())
 }
 
-async fn run_chain() -> Result<(), SubcommandError> {
-    let file_name = format!("skylarkstream-demo-{}.jsonl", std::process::id());
-    let trace_file = std::env::temp_dir().join(file_name);
-    let leaf = BackendBehaviour {
-        slots: 10,
-        service_time: Duration::from_millis(5),
-        calls: Vec::new(),
-    };
-    let entry = BackendBehaviour {
-        calls: vec![DownstreamCall {
-            service: "stand-status".into(),
-            path: "/assignments/stand".into(),
-        }],
-        ..leaf.clone()
+async fn run_demo() -> Result<(), SubcommandError> {
+    let plan = Arc::new(surge_plan());
+    println!(
+        "Three services with two instances each. After {} s demand doubles and {DEEPEST} slows to a \
+         fifth for {} s; callers repeat failed requests up to {} times.",
+        plan.before.as_secs(),
+        plan.trigger.as_secs(),
+        plan.caller_attempts - 1,
+    );
+    let without = run_variant(&plan, chain_builder().uncontrolled()).await?;
+    let with = run_variant(&plan, chain_builder()).await?;
+    print_table(
+        &plan,
+        &[("without control", without), ("with control", with)],
+    );
+    Ok(())
+}
+
+async fn run_variant(
+    plan: &Arc<SurgePlan>,
+    builder: ChainBuilder,
+) -> Result<SurgeReport, SubcommandError> {
+    let log = WorkLog::default();
+    let chain = builder.work_log(log.clone()).start().await?;
+    let entries = chain
+        .service(ENTRY)
+        .map(|instance| instance.settings.edge)
+        .collect();
+    let load = LoadGenerator::new(Arc::clone(plan), entries, ENTRY.into());
+    let (requests, ()) = tokio::join!(load.run(), slow_down(plan, &chain));
+    let report = SurgeReport::new(plan, &requests, &log);
+    chain.stop().await;
+    Ok(report)
+}
+
+async fn slow_down(plan: &SurgePlan, chain: &ServiceChain) {
+    tokio::time::sleep(plan.before).await;
+    for instance in chain.service(DEEPEST) {
+        instance.backend.set_slowdown(SLOWDOWN);
+    }
+    tokio::time::sleep(plan.trigger).await;
+    for instance in chain.service(DEEPEST) {
+        instance.backend.set_slowdown(1);
+    }
+}
+
+fn surge_plan() -> SurgePlan {
+    let class = |name: &str, path: &str, share_percent| ClassLoad {
+        name: name.into(),
+        path: path.into(),
+        share_percent,
     };
-    let chain = ServiceChain::builder()
+    SurgePlan {
+        base_rate: 400.0,
+        surge_factor: 2.0,
+        before: Duration::from_secs(3),
+        trigger: Duration::from_secs(4),
+        after: Duration::from_secs(6),
+        caller_timeout: Duration::from_secs(1),
+        caller_attempts: 5,
+        classes: vec![
+            class("assignment", "/assignments/7", 5),
+            class("stand status", "/stands/12", 10),
+            class("manual", "/manuals/towbar", 35),
+            class("roster", "/rosters/today", 50),
+        ],
+        seed: 1,
+    }
+}
+
+fn chain_builder() -> ChainBuilder {
+    ServiceChain::builder()
         .profile("dispatch", PROFILE)
-        .service("tug-dispatch", "dispatch", 1, entry)
-        .service("stand-status", "dispatch", 2, leaf)
-        .trace_file(trace_file.clone())
-        .start()
-        .await?;
-    show_answer(chain.instances[0].settings.edge).await?;
-    chain.stop().await;
-    println!("spans:");
-    print!("{}", std::fs::read_to_string(&trace_file)?);
-    std::fs::remove_file(&trace_file)?;
-    Ok(())
+        .service(ENTRY, "dispatch", 2, behaviour(60, 2, Some("gate-status")))
+        .service(
+            "gate-status",
+            "dispatch",
+            2,
+            behaviour(60, 2, Some(DEEPEST)),
+        )
+        .service(DEEPEST, "dispatch", 2, behaviour(8, 20, None))
 }
 
-async fn show_answer(edge: SocketAddr) -> Result<(), SubcommandError> {
-    let request = Request::get(format!("http://{edge}/assignments/7"))
-        .header(HOST, "tug-dispatch")
-        .body(Body::default())
-        .map_err(|_| SubcommandError::NoAnswer)?;
-    let response = HttpClient::new()
-        .send(edge, request)
-        .await
-        .map_err(|_| SubcommandError::NoAnswer)?;
-    let outcome = response.headers().get(header_names::OUTCOME).cloned();
-    println!("status {} outcome {outcome:?}", response.status());
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .map_err(|_| SubcommandError::NoAnswer)?;
-    print!("{}", String::from_utf8_lossy(&body.to_bytes()));
-    Ok(())
+fn behaviour(slots: usize, service_ms: u64, called: Option<&str>) -> BackendBehaviour {
+    BackendBehaviour {
+        slots,
+        service_time: Duration::from_millis(service_ms),
+        calls: called
+            .map(|service| DownstreamCall {
+                service: service.into(),
+                path: "/rosters/today".into(),
+            })
+            .into_iter()
+            .collect(),
+    }
 }
