Complete the profile format

Profiles lacked the deadline of unmatched requests, the order of shedding, ticket, ramp and progress times, retry-after times and published refusals, and errors had no line and key of their own.

Add these keys with defaults, bound every value, and report each broken rule as a typed error with its line and key. The canonical form is written by hand, so that an update of the TOML library cannot change the digests of published profiles. Fields and methods used so far are unchanged.

--- a/src/decision/profile/route_rule.rs
+++ b/src/decision/profile/route_rule.rs
@@ -35,9 +35,11 @@
     pub deadline_ms: u32,
 }
 
-/// Deadline of a root request on a route that names none, in milliseconds.
+/// Deadline of a root request for which the profile names none, in milliseconds.
+pub const DEFAULT_DEADLINE_MS: u32 = 2_000;
+
 fn default_deadline_ms() -> u32 {
-    2_000
+    DEFAULT_DEADLINE_MS
 }
 
 impl RouteRule {
@@ -47,7 +49,8 @@
         is_method && self.matches_path(path)
     }
 
-    fn matches_path(&self, path: &str) -> bool {
+    /// Returns whether the path prefix matches.
+    pub(super) fn matches_path(&self, path: &str) -> bool {
         let prefix = self.path.trim_end_matches('/');
         path.strip_prefix(prefix)
             .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
--- a/src/decision/profile/service_profile.rs
+++ b/src/decision/profile/service_profile.rs
@@ -1,10 +1,22 @@
 //! Overload profile of a service.
 
+use super::{
+    canonical_form::CanonicalForm,
+    profile_digest::ProfileDigest,
+    profile_error::MAX_PROFILE_BYTES,
+    profile_limits::{SheddingRules, TicketLimits, UpstreamLimits},
+    profile_validation,
+    refusal_rule::RefusalRule,
+    route_rule::{DEFAULT_DEADLINE_MS, RouteRule},
+};
 use crate::{
     common::*,
-    decision::{profile::route_rule::RouteRule, request_priority::LOWEST_CLASS},
+    decision::request_priority::LOWEST_CLASS,
+    toml_location::{self, KeyLocation},
 };
 
+pub use super::profile_error::ProfileError;
+
 /// Bounds on the work that a daemon admits to its backend server.
 #[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields, default)]
@@ -41,6 +53,10 @@
     pub allowance: u16,
     /// Extra attempts to a service as a share of first attempts, in percent.
     pub budget_percent: u8,
+    /// Shortest time after which a refused caller may come back, in milliseconds.
+    pub retry_after_ms: u32,
+    /// Window over which the return of refused callers is spread, in milliseconds.
+    pub retry_after_window_ms: u32,
 }
 
 impl Default for RetryLimits {
@@ -48,6 +64,8 @@
         Self {
             allowance: 3,
             budget_percent: 10,
+            retry_after_ms: 1_000,
+            retry_after_window_ms: 2_000,
         }
     }
 }
@@ -62,38 +80,54 @@
     pub classes: IndexMap<SmolStr, u8>,
     /// Class of requests that match no route.
     pub default_class: SmolStr,
+    /// Deadline of root requests that match no route, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub unmatched_deadline_ms: u32,
     /// Admission bounds.
     #[serde(default)]
     pub admission: AdmissionLimits,
+    /// Order of shedding.
+    #[serde(default)]
+    pub shedding: SheddingRules,
     /// Retry bounds.
     #[serde(default)]
     pub retry: RetryLimits,
+    /// Bounds on tickets.
+    #[serde(default)]
+    pub ticket: TicketLimits,
+    /// Bounds on the use of upstreams.
+    #[serde(default)]
+    pub upstream: UpstreamLimits,
     /// Route rules; the first match counts.
     #[serde(default)]
     pub routes: Vec<RouteRule>,
+    /// Responses by which the backend server says that it did not run a request.
+    #[serde(default)]
+    pub refusals: Vec<RefusalRule>,
 }
 
-/// A profile cannot be used.
-#[derive(Debug, Error)]
-pub enum ProfileError {
-    /// The text is not valid TOML or has unknown or missing keys.
-    #[error("The profile cannot be read: {0}")]
-    Syntax(#[from] toml::de::Error),
-    /// A class that a key refers to does not exist.
-    #[error("The class `{0}` is not declared in `classes`.")]
-    UnknownClass(SmolStr),
-    /// A class level is out of range.
-    #[error("The level of class `{0}` is above {LOWEST_CLASS}.")]
-    ClassLevel(SmolStr),
+fn default_deadline_ms() -> u32 {
+    DEFAULT_DEADLINE_MS
 }
 
 impl FromStr for ServiceProfile {
     type Err = ProfileError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let profile: Self = toml::from_str(text)?;
-        profile.validate()?;
-        Ok(profile)
+        if text.len() > MAX_PROFILE_BYTES {
+            return Err(ProfileError::TooLarge(text.len()));
+        }
+        let profile: Self = toml::from_str(text).map_err(|error| ProfileError::Syntax {
+            location: KeyLocation::of_error(text, &error),
+            message: toml_location::short_message(&error),
+        })?;
+        match profile_validation::validate(&profile) {
+            Ok(()) => Ok(profile),
+            Err((path, violation)) => Err(ProfileError::Rule {
+                location: KeyLocation::of_path(text, &path),
+                violation,
+            }),
+        }
     }
 }
 
@@ -109,20 +143,34 @@
         self.classes.get(name).copied().unwrap_or(LOWEST_CLASS)
     }
 
-    fn validate(&self) -> Result<(), ProfileError> {
-        if let Some((name, _)) = self
-            .classes
-            .iter()
-            .find(|(_, level)| **level > LOWEST_CLASS)
-        {
-            return Err(ProfileError::ClassLevel(name.clone()));
+    /// Returns the deadline of a root request.
+    pub fn deadline(&self, rule: Option<&RouteRule>) -> Duration {
+        let ms = rule.map_or(self.unmatched_deadline_ms, |rule| rule.deadline_ms);
+        Duration::from_millis(ms.into())
+    }
+
+    /// Reads a profile as published.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, ProfileError> {
+        if bytes.len() > MAX_PROFILE_BYTES {
+            return Err(ProfileError::TooLarge(bytes.len()));
         }
-        let unknown = std::iter::once(&self.default_class)
-            .chain(self.routes.iter().map(|rule| &rule.class))
-            .find(|class| !self.classes.contains_key(*class));
-        match unknown {
-            Some(class) => Err(ProfileError::UnknownClass(class.clone())),
-            None => Ok(()),
+        match std::str::from_utf8(bytes) {
+            Ok(text) => text.parse(),
+            Err(error) => {
+                let valid = &bytes[..error.valid_up_to()];
+                let line = 1 + valid.iter().filter(|byte| **byte == b'\n').count();
+                Err(ProfileError::Encoding { line })
+            }
         }
     }
+
+    /// Returns the canonical form.
+    pub fn canonical(&self) -> String {
+        CanonicalForm(self).to_string()
+    }
+
+    /// Returns the digest of the canonical form.
+    pub fn digest(&self) -> ProfileDigest {
+        ProfileDigest::of(&self.canonical())
+    }
 }
--- a/src/filter/classify_filter.rs
+++ b/src/filter/classify_filter.rs
@@ -18,9 +18,6 @@
 use http::{Method, Uri};
 use std::pin::Pin;
 
-/// Deadline of requests that match no route.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
-
 /// Applies the profile of the own service to a request.
 #[derive(Clone, NewMiddleware)]
 pub struct ClassifyFilter {
@@ -61,10 +58,7 @@
     now: Instant,
 ) {
     let rule = profile.rule(method, path);
-    let limit = rule.map_or(DEFAULT_DEADLINE, |rule| {
-        Duration::from_millis(rule.deadline_ms.into())
-    });
-    context.deadline = context.deadline.min(now + limit);
+    context.deadline = context.deadline.min(now + profile.deadline(rule));
     context.allowance = profile.retry.allowance;
     context.priority = RequestPriority::for_request(
         profile.class_level(rule),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod shell;
 pub mod standin;
 pub mod subcommand;
+pub mod toml_location;
 
 mod common;
 
--- /dev/null
+++ b/src/toml_location.rs
@@ -0,0 +1,211 @@
+//! Line and key of an entry in a TOML text.
+
+use crate::common::*;
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+/// Longest key or message that an error repeats, in characters.
+const MAX_QUOTED_CHARS: usize = 200;
+
+/// One step from a table to an entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyStep {
+    /// Key of a table.
+    Key(SmolStr),
+    /// Index into an array, from 0.
+    Index(usize),
+}
+
+impl From<&str> for KeyStep {
+    fn from(key: &str) -> Self {
+        Self::Key(key.into())
+    }
+}
+
+impl From<usize> for KeyStep {
+    fn from(index: usize) -> Self {
+        Self::Index(index)
+    }
+}
+
+/// Builds a key path from names and indexes.
+macro_rules! key_path {
+    ($($step:expr),+ $(,)?) => {
+        vec![$($crate::toml_location::KeyStep::from($step)),+]
+    };
+}
+pub(crate) use key_path;
+
+/// Place of an error in a TOML text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyLocation {
+    /// Line, from 1.
+    pub line: usize,
+    /// Dotted key; empty when the error concerns no key.
+    pub key: String,
+}
+
+impl Display for KeyLocation {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(f, "line {}", self.line)?;
+        if !self.key.is_empty() {
+            write!(f, ", key `{}`", self.key)?;
+        }
+        Ok(())
+    }
+}
+
+impl KeyLocation {
+    /// Locates an entry. An entry that the text leaves out is located at its nearest table.
+    pub fn of_path(text: &str, path: &[KeyStep]) -> Self {
+        let offset = DeTable::parse(text)
+            .ok()
+            .map_or(0, |root| offset_of(root.get_ref(), path));
+        Self {
+            line: line_at(text, offset),
+            key: printable(&dotted(path)),
+        }
+    }
+
+    /// Locates an error of the TOML library.
+    pub fn of_error(text: &str, error: &toml::de::Error) -> Self {
+        let offset = error.span().map_or(0, |span| span.start);
+        let root = DeTable::parse(text).ok();
+        let missing = missing_field(error.message());
+        let path = root.and_then(|root| {
+            // The span of the root table covers its first key, which is not the missing one.
+            let is_root = missing.is_some() && error.span() == Some(root.span());
+            let path = if is_root {
+                Some(Vec::new())
+            } else {
+                path_at(root.get_ref(), offset)
+            };
+            let missing = missing.map(KeyStep::from);
+            path.map(|path| path.into_iter().chain(missing).collect::<Vec<_>>())
+        });
+        let key = path.map_or_else(|| key_before(text, offset), |path| dotted(&path));
+        Self {
+            line: line_at(text, offset),
+            key: printable(&key),
+        }
+    }
+}
+
+/// Returns the message of a TOML error on one line of bounded length.
+pub fn short_message(error: &toml::de::Error) -> String {
+    printable(error.message())
+}
+
+/// Returns whether a text is a usable name: 1 to 64 letters, digits, `-`, `_` or `.`, starting
+/// with a letter or digit.
+pub fn is_safe_name(name: &str) -> bool {
+    const MAX_NAME_BYTES: usize = 64;
+    name.len() <= MAX_NAME_BYTES
+        && name.starts_with(|first: char| first.is_ascii_alphanumeric())
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+}
+
+/// Returns the name in a message of the form "missing field `name`".
+fn missing_field(message: &str) -> Option<&str> {
+    message.strip_prefix("missing field `")?.strip_suffix('`')
+}
+
+fn printable(text: &str) -> String {
+    text.chars()
+        .take(MAX_QUOTED_CHARS)
+        .map(|char| if char.is_control() { ' ' } else { char })
+        .collect()
+}
+
+fn line_at(text: &str, offset: usize) -> usize {
+    let end = offset.min(text.len());
+    1 + text.as_bytes()[..end]
+        .iter()
+        .filter(|byte| **byte == b'\n')
+        .count()
+}
+
+fn dotted(path: &[KeyStep]) -> String {
+    let mut text = String::new();
+    for step in path {
+        match step {
+            KeyStep::Key(key) if text.is_empty() => text.push_str(key),
+            KeyStep::Key(key) => {
+                text.push('.');
+                text.push_str(key);
+            }
+            KeyStep::Index(index) => text.push_str(&format!("[{index}]")),
+        }
+    }
+    text
+}
+
+fn key_before(text: &str, offset: usize) -> String {
+    let end = offset.min(text.len());
+    let line = text
+        .as_bytes()
+        .split(|byte| *byte == b'\n')
+        .nth(line_at(text, end) - 1)
+        .unwrap_or_default();
+    let line = String::from_utf8_lossy(line);
+    line.split_once('=')
+        .map(|(key, _)| key.trim().to_owned())
+        .unwrap_or_default()
+}
+
+fn offset_of(root: &DeTable, path: &[KeyStep]) -> usize {
+    let mut offset = 0;
+    let mut table = Some(root);
+    let mut array: Option<&[Spanned<DeValue>]> = None;
+    for step in path {
+        let value = match step {
+            KeyStep::Key(name) => table.and_then(|table| {
+                let (key, value) = table
+                    .iter()
+                    .find(|(key, _)| key.get_ref() == name.as_str())?;
+                offset = key.span().start;
+                Some(value)
+            }),
+            KeyStep::Index(index) => array.and_then(|array| {
+                let value = array.get(*index)?;
+                offset = value.span().start;
+                Some(value)
+            }),
+        };
+        let Some(value) = value else {
+            return offset;
+        };
+        table = value.get_ref().as_table();
+        array = value.get_ref().as_array().map(|array| &array[..]);
+    }
+    offset
+}
+
+/// Finds the innermost key whose own text or value covers an offset.
+fn path_at(table: &DeTable, offset: usize) -> Option<Vec<KeyStep>> {
+    table.iter().find_map(|(key, value)| {
+        let mut path = vec![KeyStep::Key(key.get_ref().as_ref().into())];
+        if let Some(rest) = path_in_value(value, offset) {
+            path.extend(rest);
+            return Some(path);
+        }
+        key.span().contains(&offset).then_some(path)
+    })
+}
+
+fn path_in_value(value: &Spanned<DeValue>, offset: usize) -> Option<Vec<KeyStep>> {
+    let inner = match value.get_ref() {
+        DeValue::Table(table) => path_at(table, offset),
+        DeValue::Array(array) => array.iter().enumerate().find_map(|(index, item)| {
+            let mut path = vec![KeyStep::Index(index)];
+            path.extend(path_in_value(item, offset)?);
+            Some(path)
+        }),
+        _ => None,
+    };
+    inner.or_else(|| value.span().contains(&offset).then(Vec::new))
+}
--- /dev/null
+++ b/tests/profile_format.rs
@@ -0,0 +1,218 @@
+//! Decoding, validation and canonical form of profiles.
+
+use insta::assert_snapshot;
+use skylarkstream::decision::profile::{
+    profile_error::{MAX_PROFILE_BYTES, ProfileError},
+    profile_limits::ShedOrder,
+    route_rule::TicketRule,
+    service_profile::ServiceProfile,
+};
+use std::fmt::Write;
+
+const MINIMAL: &str = "name = \"p\"\ndefault_class = \"a\"\nclasses = { a = 0 }\n";
+
+const FULL: &str = r#"
+name = "dispatch"
+default_class = "documents"
+unmatched_deadline_ms = 700
+classes = { documents = 5, assignment = 0, roster = 3 }
+[shedding]
+within_class = "retries-first"
+[admission]
+max_concurrency = 80
+initial_concurrency = 60
+[retry]
+allowance = 2
+[ticket]
+lifetime_s = 30
+[upstream]
+ramp_time_ms = 5000
+[[routes]]
+method = "POST"
+path = "/assignments"
+class = "assignment"
+ticket = "required"
+[[routes]]
+path = "/assignments"
+class = "assignment"
+idempotent = true
+deadline_ms = 900
+[[refusals]]
+status = 503
+header = "x-shed"
+value = "1"
+"#;
+
+fn error(text: &str) -> String {
+    match text.parse::<ServiceProfile>() {
+        Ok(_) => "accepted".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+/// Guards against a canonical form whose layout or defaults change unseen, which would change the
+/// digests of all published profiles.
+#[test]
+fn canonical_form_and_digest_are_exact() {
+    let profile: ServiceProfile = FULL.parse().unwrap();
+    assert_snapshot!(format!(
+        "{}\nsha256 {}",
+        profile.canonical(),
+        profile.digest()
+    ));
+    let minimal: ServiceProfile = MINIMAL.parse().unwrap();
+    assert_snapshot!(minimal.canonical());
+}
+
+/// Guards against error messages without the line and the key.
+#[test]
+fn errors_name_line_and_key() {
+    let route = "[[routes]]\npath = \"/a\"\nclass = \"a\"\n";
+    let cases = [
+        (
+            "broken syntax",
+            "name = \"p\"\ndefault_class = = 1\n".into(),
+        ),
+        ("unknown key", format!("{MINIMAL}queue = 3\n")),
+        (
+            "unknown nested key",
+            format!("{MINIMAL}[admission]\nqueue_length = 3\nqueue = 4\n"),
+        ),
+        (
+            "missing key",
+            "name = \"p\"\ndefault_class = \"a\"\n".into(),
+        ),
+        (
+            "missing key of a route",
+            format!("{MINIMAL}[[routes]]\npath = \"/a\"\n"),
+        ),
+        (
+            "wrong type",
+            format!("{MINIMAL}[retry]\nallowance = \"three\"\n"),
+        ),
+        (
+            "negative number",
+            format!("{MINIMAL}[retry]\nallowance = -1\n"),
+        ),
+        ("duplicate key", format!("{MINIMAL}name = \"q\"\n")),
+        (
+            "unknown ticket rule",
+            format!("{MINIMAL}{route}ticket = \"maybe\"\n"),
+        ),
+        (
+            "unknown class",
+            format!("{MINIMAL}{route}{}", route.replace("\"a\"", "\"b\"")),
+        ),
+        ("class level", MINIMAL.replace('0', "8")),
+        ("no class", MINIMAL.replace(" a = 0 ", "")),
+        (
+            "range",
+            format!("{MINIMAL}[upstream]\nprogress_time_ms = 1\n"),
+        ),
+        (
+            "order",
+            format!("{MINIMAL}[admission]\nmax_concurrency = 10\n"),
+        ),
+        ("path", format!("{MINIMAL}{}", route.replace("/a", "a"))),
+        ("method", format!("{MINIMAL}{route}method = \"get\"\n")),
+        (
+            "unreachable",
+            format!("{MINIMAL}{route}{}", route.replace("/a", "/a/b")),
+        ),
+        (
+            "status",
+            format!("{MINIMAL}[[refusals]]\nstatus = 200\nheader = \"x\"\n"),
+        ),
+        (
+            "header",
+            format!("{MINIMAL}[[refusals]]\nstatus = 503\nheader = \"skylark-x\"\n"),
+        ),
+        ("name", MINIMAL.replace("\"p\"", "\"p/../q\"")),
+    ];
+    let mut report = String::new();
+    for (case, text) in cases {
+        writeln!(report, "{case}: {}", error(&text)).unwrap();
+    }
+    assert_snapshot!(report);
+}
+
+/// Guards against profiles that no value of the platform could hold, and against bytes that are
+/// repaired instead of refused.
+#[test]
+fn oversized_and_undecodable_profiles_are_refused() {
+    let large = format!("{MINIMAL}#{}", "x".repeat(MAX_PROFILE_BYTES));
+    assert_eq!(
+        ServiceProfile::from_bytes(large.as_bytes()),
+        Err(ProfileError::TooLarge(large.len()))
+    );
+    assert_eq!(
+        ServiceProfile::from_bytes(b"name = \"p\"\n# \xff\n"),
+        Err(ProfileError::Encoding { line: 2 })
+    );
+}
+
+/// Guards against a message that repeats a hostile key at full length or with line breaks.
+#[test]
+fn messages_are_bounded_and_on_one_line() {
+    let text = format!("{MINIMAL}\"{}\\n\" = 1\n", "k".repeat(100_000));
+    let message = error(&text);
+    assert!(message.len() < 1_000, "{} bytes", message.len());
+    assert!(!message.contains('\n'));
+}
+
+/// Guards against defaults that run a request twice or demand nothing of the team.
+#[test]
+fn defaults_are_safe() {
+    let text = format!("{MINIMAL}[[routes]]\npath = \"/\"\nclass = \"a\"\n");
+    let profile: ServiceProfile = text.parse().unwrap();
+    assert!(!profile.routes[0].idempotent);
+    assert_eq!(profile.routes[0].ticket, TicketRule::Optional);
+    assert_eq!(profile.shedding.within_class, ShedOrder::NewRootsFirst);
+    assert_eq!(profile.retry.allowance, 3);
+    assert_eq!(profile.retry.budget_percent, 10);
+    assert!(profile.refusals.is_empty());
+}
+
+/// Guards against a published refusal that is recognised by its status alone.
+#[test]
+fn refusal_needs_status_and_header() {
+    let profile: ServiceProfile = FULL.parse().unwrap();
+    let refusal = &profile.refusals[0];
+    let found = |value: &'static [u8]| move |name: &str| (name == "x-shed").then_some(value);
+    assert!(refusal.matches(503, found(b"1")));
+    assert!(!refusal.matches(503, found(b"0")));
+    assert!(!refusal.matches(500, found(b"1")));
+    assert!(!refusal.matches(503, |_| None));
+}
+
+/// Guards against a decoder that panics, an unstable verdict, and a canonical form that is not a
+/// fixed point. Inputs are lines of valid profiles in random order with random byte changes.
+#[test]
+fn any_accepted_text_has_a_stable_canonical_form() {
+    arbtest::arbtest(|u| {
+        let lines: Vec<&str> = FULL.lines().collect();
+        let mut bytes = if u.ratio(1, 2)? {
+            FULL.as_bytes().to_vec()
+        } else {
+            let mut text = MINIMAL.to_owned();
+            for _ in 0..u.int_in_range(0..=12)? {
+                text.push_str(u.choose(&lines)?);
+                text.push('\n');
+            }
+            text.into_bytes()
+        };
+        for _ in 0..u.int_in_range(0..=3)? {
+            let index = u.choose_index(bytes.len())?;
+            bytes[index] = u.arbitrary()?;
+        }
+        let verdict = ServiceProfile::from_bytes(&bytes);
+        assert_eq!(verdict, ServiceProfile::from_bytes(&bytes));
+        if let Ok(profile) = verdict {
+            let canonical = profile.canonical();
+            let again: ServiceProfile = canonical.parse().unwrap();
+            assert_eq!(again.canonical(), canonical);
+            assert_eq!(again.digest(), profile.digest());
+        }
+        Ok(())
+    });
+}
