--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,6 +1,7 @@
 //! Controllers of the state that requests share.
 
 pub mod call_ledgers;
+pub mod catalogue_report;
 pub mod gate_controller;
 pub mod profile_controller;
 pub mod upstream_controller;
--- /dev/null
+++ b/src/controller/catalogue_report.rs
@@ -0,0 +1,60 @@
+//! Report of the catalogue for operators.
+
+use crate::common::*;
+
+/// Source of a value in force.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum ValueSource {
+    /// The platform's configuration service.
+    Platform,
+    /// The control listener of another daemon.
+    Peer(SocketAddr),
+}
+
+/// State of one catalogue key that this daemon uses.
+#[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
+pub struct KeyReport {
+    /// Catalogue key.
+    pub key: SmolStr,
+    /// Version in force, if any.
+    pub version: Option<u64>,
+    /// SHA-256 of the value in force, in hex.
+    pub digest: Option<SmolStr>,
+    /// Source of the value in force.
+    pub source: Option<ValueSource>,
+    /// Time since the value came into force, in seconds.
+    pub age_s: Option<u64>,
+    /// Latest version seen, which may be refused or not yet fetched.
+    pub latest_version: Option<u64>,
+    /// Version that was refused last and the reason.
+    pub refusal: Option<KeyRefusal>,
+}
+
+/// Refusal of a version.
+#[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
+pub struct KeyRefusal {
+    /// Refused version.
+    pub version: u64,
+    /// Reason for people.
+    pub reason: String,
+}
+
+/// Catalogue of a daemon as operators see it.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, Eq, PartialEq)]
+pub struct CatalogueReport {
+    /// Keys that this daemon uses.
+    pub keys: Vec<KeyReport>,
+    /// Keys in the index.
+    pub index_keys: usize,
+    /// Bytes of the values held.
+    pub value_bytes: usize,
+    /// Whether this daemon reads the platform for its data centre.
+    pub is_reader: bool,
+    /// Peers heard from in the last 10 s.
+    pub peers_heard: usize,
+    /// Peers among them whose index was equal to this daemon's at the last exchange.
+    pub peers_in_agreement: usize,
+    /// Times that a source offered other content under a known version.
+    pub conflicts: u64,
+}
--- a/src/controller/profile_controller.rs
+++ b/src/controller/profile_controller.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    controller::catalogue_report::CatalogueReport,
     decision::{
         profile::service_profile::{ProfileError, ServiceProfile},
         routing::upstream_set::InstanceInfo,
@@ -65,6 +66,11 @@
         self.profiles.lock().get(service).cloned()
     }
 
+    /// Returns the state of the catalogue for operators.
+    pub fn report(&self) -> CatalogueReport {
+        CatalogueReport::default()
+    }
+
     /// Reads the selected profile of a service; a lower version than the one in force is ignored.
     pub async fn refresh(
         &self,
