Show catalogue keys in the profiles report and test the operators' view

The report had no source, age, refusal or agreement of peers, since the catalogue did not report them. It now includes the report of ProfileController.

Tests fix the output of status, profiles and explain, read a running daemon with the subcommands, and refuse nesting that would exhaust the stack.

--- a/src/shell/profiles_report.rs
+++ b/src/shell/profiles_report.rs
@@ -1,9 +1,15 @@
 //! Profiles of a daemon as operators see them.
 
 use crate::{
-    common::*, decision::profile::profile_digest::ProfileDigest, shell::daemon::DaemonState,
+    common::*,
+    controller::catalogue_report::{CatalogueReport, KeyReport, ValueSource},
+    decision::profile::profile_digest::ProfileDigest,
+    shell::daemon::DaemonState,
 };
 
+/// Characters of a digest in the table.
+const SHORT_DIGEST_CHARS: usize = 12;
+
 /// Profiles of a daemon as operators see them.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ProfilesReport {
@@ -11,6 +17,8 @@
     pub instance: SmolStr,
     /// One entry for the own service and for each called service.
     pub profiles: Vec<ProfileEntry>,
+    /// Catalogue keys behind them, and how far peers have them.
+    pub catalogue: CatalogueReport,
 }
 
 /// Profile of one service.
@@ -22,23 +30,8 @@
     pub profile: Option<SmolStr>,
     /// Version in force, if any.
     pub version: Option<u64>,
-    /// SHA-256 of the canonical form in force, if any.
-    pub digest: Option<ProfileDigest>,
-    /// Where the version came from, if known.
-    pub source: Option<SmolStr>,
-    /// Time since the version came in force, in milliseconds, if known.
-    pub age_ms: Option<u64>,
-    /// Latest version that was refused, if it is newer than the one in force.
-    pub refused: Option<RefusedVersion>,
-}
-
-/// Version of a profile that was refused.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct RefusedVersion {
-    /// Version of the profile.
-    pub version: u64,
-    /// Why it was refused.
-    pub reason: String,
+    /// SHA-256 of the canonical form in force, as `check --canonical` prints it.
+    pub canonical_digest: Option<ProfileDigest>,
 }
 
 impl ProfilesReport {
@@ -49,63 +42,99 @@
         Self {
             instance: settings.instance.clone(),
             profiles: services.map(|service| entry(daemon, service)).collect(),
+            catalogue: daemon.profiles.report(),
         }
     }
 }
 
 fn entry(daemon: &DaemonState, service: &SmolStr) -> ProfileEntry {
     let in_force = daemon.profiles.get(service);
+    let profile = in_force.as_ref().map(|found| &found.profile);
     ProfileEntry {
         service: service.clone(),
-        profile: in_force.as_ref().map(|found| found.profile.name.clone()),
+        profile: profile.map(|profile| profile.name.clone()),
         version: in_force.as_ref().map(|found| found.version),
-        digest: in_force.as_ref().map(|found| found.profile.digest()),
-        source: None,
-        age_ms: None,
-        refused: None,
+        canonical_digest: profile.map(|profile| profile.digest()),
     }
 }
 
-/// Characters of a digest in the table.
-const SHORT_DIGEST_CHARS: usize = 12;
-
 impl Display for ProfilesReport {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         writeln!(f, "instance {}\n", self.instance)?;
         writeln!(
             f,
-            "{:<24} {:<24} {:>8} {:<12} {:<10} {:>9}",
-            "SERVICE", "PROFILE", "VERSION", "DIGEST", "SOURCE", "AGE"
+            "{:<24} {:<24} {:>8}  CANONICAL DIGEST",
+            "SERVICE", "PROFILE", "VERSION"
         )?;
-        self.profiles.iter().try_for_each(|entry| entry.fmt(f))
+        for entry in &self.profiles {
+            writeln!(
+                f,
+                "{:<24} {:<24} {:>8}  {}",
+                entry.service,
+                or_dash(entry.profile.as_ref()),
+                or_dash(entry.version),
+                short(entry.canonical_digest.map(|digest| digest.to_string())),
+            )?;
+        }
+        write_catalogue(f, &self.catalogue)
     }
 }
 
-impl Display for ProfileEntry {
-    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
-        let or_dash = |text: Option<String>| text.unwrap_or_else(|| "-".to_owned());
-        let digest = self.digest.map(|digest| {
-            let mut text = digest.to_string();
-            text.truncate(SHORT_DIGEST_CHARS);
-            text
-        });
+fn write_catalogue(f: &mut Formatter, catalogue: &CatalogueReport) -> fmt::Result {
+    if !catalogue.keys.is_empty() {
         writeln!(
             f,
-            "{:<24} {:<24} {:>8} {:<12} {:<10} {:>9}",
-            self.service,
-            self.profile.as_deref().unwrap_or("-"),
-            or_dash(self.version.map(|version| version.to_string())),
-            or_dash(digest),
-            self.source.as_deref().unwrap_or("-"),
-            or_dash(self.age_ms.map(|ms| format!("{} s", ms / 1_000))),
+            "\n{:<32} {:>8} {:>8}  {:<12}  {:<21} {:>9}",
+            "KEY", "VERSION", "LATEST", "DIGEST", "SOURCE", "AGE"
         )?;
-        match &self.refused {
-            Some(refused) => writeln!(
-                f,
-                "  version {} is refused: {}",
-                refused.version, refused.reason
-            ),
-            None => Ok(()),
+    }
+    catalogue
+        .keys
+        .iter()
+        .try_for_each(|key| write_key(f, key))?;
+    writeln!(
+        f,
+        "\npeers       {} of {} in agreement",
+        catalogue.peers_in_agreement, catalogue.peers_heard
+    )?;
+    let is_reader = if catalogue.is_reader { "yes" } else { "no" };
+    writeln!(f, "reader      {is_reader}")?;
+    writeln!(
+        f,
+        "index       {} keys, {} bytes of values",
+        catalogue.index_keys, catalogue.value_bytes
+    )?;
+    writeln!(f, "conflicts   {}", catalogue.conflicts)
+}
+
+fn write_key(f: &mut Formatter, key: &KeyReport) -> fmt::Result {
+    let source = key.source.map(|source| match source {
+        ValueSource::Platform => "platform".to_owned(),
+        ValueSource::Peer(address) => address.to_string(),
+    });
+    writeln!(
+        f,
+        "{:<32} {:>8} {:>8}  {:<12}  {:<21} {:>9}",
+        key.key,
+        or_dash(key.version),
+        or_dash(key.latest_version),
+        short(key.digest.as_ref().map(ToString::to_string)),
+        or_dash(source),
+        or_dash(key.age_s.map(|age| format!("{age} s"))),
+    )?;
+    match &key.refusal {
+        Some(refusal) => {
+            let (version, reason) = (refusal.version, &refusal.reason);
+            writeln!(f, "  version {version} is refused: {reason}")
         }
+        None => Ok(()),
     }
 }
+
+fn or_dash(value: Option<impl Display>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
+
+fn short(digest: Option<String>) -> String {
+    or_dash(digest.map(|digest| digest.chars().take(SHORT_DIGEST_CHARS).collect::<String>()))
+}
--- a/src/toml_location.rs
+++ b/src/toml_location.rs
@@ -71,7 +71,13 @@
 
     /// Locates an error of the TOML library.
     pub fn of_error(text: &str, error: &toml::de::Error) -> Self {
-        let offset = error.span().map_or(0, |span| span.start);
+        let Some(offset) = error.span().map(|span| span.start) else {
+            // The library gives no place for tables that are nested too deeply.
+            return Self {
+                line: 1,
+                key: String::new(),
+            };
+        };
         let root = DeTable::parse(text).ok();
         let missing = missing_field(error.message());
         let path = root.and_then(|root| {
--- /dev/null
+++ b/tests/operator_view.rs
@@ -0,0 +1,255 @@
+//! Output of `status`, `profiles` and `explain`.
+
+use insta::assert_snapshot;
+use skylarkstream::{
+    controller::{
+        catalogue_report::{CatalogueReport, KeyRefusal, KeyReport, ValueSource},
+        gate_controller::GateLoad,
+    },
+    decision::{
+        profile::{
+            request_explanation::{ExplainQuery, GateView, RequestExplanation},
+            service_profile::{RetryLimits, ServiceProfile},
+        },
+        request_priority::RequestPriority,
+    },
+    shell::{
+        explain_codec,
+        profiles_report::{ProfileEntry, ProfilesReport},
+        status_report::{CalledService, StatusReport},
+    },
+    standin::{backend_server::BackendBehaviour, service_chain::ServiceChain},
+};
+use std::{process::Command, time::Duration};
+
+const PROFILE: &str = include_str!("../examples/dispatch-mesh/profiles/tug-dispatch.toml");
+
+fn query(method: &str, path: &str) -> ExplainQuery {
+    ExplainQuery {
+        method: method.into(),
+        path: path.into(),
+        class: None,
+        rank: None,
+        ticket: false,
+        retry: false,
+    }
+}
+
+/// Guards against a changed table or JSON, which scripts of operators read.
+#[test]
+fn status_output() {
+    let profile: ServiceProfile = PROFILE.parse().unwrap();
+    let report = StatusReport {
+        cluster: "ground-handling".into(),
+        instance: "tug-dispatch-1".into(),
+        service: "tug-dispatch".into(),
+        data_centre: "north".into(),
+        program_version: "0.1.0".into(),
+        profile: Some(profile.name),
+        profile_version: Some(12),
+        load: GateLoad {
+            in_flight: 71,
+            queued: 9,
+            limit: 80,
+        },
+        threshold: "3.40960.0".into(),
+        admission: profile.admission,
+        retry: RetryLimits::default(),
+        calls: vec![CalledService {
+            service: "crew-roster".into(),
+            profile_version: None,
+            first_attempts: 120_000,
+            extra_attempts: 43,
+        }],
+        seed_peers: vec!["10.0.0.2:7002".parse().unwrap()],
+        dropped_spans: 0,
+    };
+    assert_snapshot!(report);
+    assert_snapshot!(serde_json::to_string_pretty(&report).unwrap());
+}
+
+/// Guards against a table that hides a refused version or its reason.
+#[test]
+fn profiles_output() {
+    let profile: ServiceProfile = PROFILE.parse().unwrap();
+    let key = KeyReport {
+        key: "profiles/tug-dispatch".into(),
+        version: Some(12),
+        digest: Some("0123456789abcdef".repeat(4).into()),
+        source: Some(ValueSource::Platform),
+        age_s: Some(86_400),
+        latest_version: Some(13),
+        refusal: Some(KeyRefusal {
+            version: 13,
+            reason: "At line 6, key `retry.allowence`: unknown field `allowence`.".to_owned(),
+        }),
+    };
+    let report = ProfilesReport {
+        instance: "tug-dispatch-1".into(),
+        profiles: vec![
+            ProfileEntry {
+                service: "tug-dispatch".into(),
+                profile: Some(profile.name.clone()),
+                version: Some(12),
+                canonical_digest: Some(profile.digest()),
+            },
+            ProfileEntry {
+                service: "crew-roster".into(),
+                profile: None,
+                version: None,
+                canonical_digest: None,
+            },
+        ],
+        catalogue: CatalogueReport {
+            keys: vec![key],
+            index_keys: 40,
+            value_bytes: 70_000,
+            is_reader: true,
+            peers_heard: 11,
+            peers_in_agreement: 9,
+            conflicts: 0,
+        },
+    };
+    assert_snapshot!(report);
+    assert_snapshot!(serde_json::to_string_pretty(&report).unwrap());
+}
+
+/// Guards against an explanation that contradicts the threshold, the queue or the ticket rule.
+#[test]
+fn explain_output() {
+    let profile: ServiceProfile = PROFILE.parse().unwrap();
+    let threshold = RequestPriority {
+        class: 3,
+        retry: false,
+        rank: 40_960,
+    };
+    let free = GateView {
+        threshold: RequestPriority::LOWEST,
+        in_flight: 79,
+        queued: 0,
+        limit: 80,
+    };
+    let busy = GateView {
+        threshold,
+        in_flight: 80,
+        queued: 9,
+        limit: 80,
+    };
+    let full = GateView {
+        queued: 100,
+        ..busy
+    };
+    let assignment = query("POST", "/assignments");
+    let roster = query("GET", "/roster/42?day=1");
+    let rank = |rank| ExplainQuery {
+        rank: Some(rank),
+        ..roster.clone()
+    };
+    let cases = [
+        ("free slot", query("GET", "/assignments/7"), free),
+        ("no ticket", assignment.clone(), free),
+        (
+            "ticket while busy",
+            ExplainQuery {
+                ticket: true,
+                ..assignment
+            },
+            busy,
+        ),
+        ("rank decides", roster.clone(), busy),
+        ("rank at the threshold", rank(40_960), busy),
+        ("rank below the threshold", rank(40_961), busy),
+        (
+            "retry of the same class",
+            ExplainQuery {
+                retry: true,
+                ..roster.clone()
+            },
+            busy,
+        ),
+        (
+            "other class",
+            ExplainQuery {
+                class: Some("background".into()),
+                ..roster
+            },
+            busy,
+        ),
+        ("no route", query("POST", "/rosters"), busy),
+        ("full queue", query("GET", "/stands/4"), full),
+    ];
+    let report = cases.map(|(case, query, gate)| {
+        let explanation = RequestExplanation::new(&profile, 12, &query, &gate).unwrap();
+        format!("# {case}: {} {}\n{explanation}", query.method, query.path)
+    });
+    assert_snapshot!(report.join("\n"));
+}
+
+/// Guards against a query string that loses or changes a value on its way, and against a decoder
+/// that panics.
+#[test]
+fn explain_queries_survive_the_query_string() {
+    arbtest::arbtest(|u| {
+        let query = ExplainQuery {
+            method: u.arbitrary::<&str>()?.into(),
+            path: u.arbitrary::<&str>()?.into(),
+            class: u.arbitrary::<Option<&str>>()?.map(Into::into),
+            rank: u.arbitrary()?,
+            ticket: u.arbitrary()?,
+            retry: u.arbitrary()?,
+        };
+        assert_eq!(
+            explain_codec::decode(&explain_codec::encode(&query)),
+            Ok(query)
+        );
+        let _ = explain_codec::decode(u.arbitrary::<&str>()?);
+        Ok(())
+    });
+}
+
+/// Guards against a break between the subcommands and the pages of the admin listener.
+#[tokio::test(flavor = "multi_thread")]
+async fn subcommands_read_a_running_daemon() {
+    let behaviour = BackendBehaviour {
+        slots: 4,
+        service_time: Duration::from_millis(1),
+        calls: Vec::new(),
+    };
+    let chain = ServiceChain::builder()
+        .profile("tug-dispatch", PROFILE)
+        .service("tug-dispatch", "tug-dispatch", 1, behaviour)
+        .start()
+        .await
+        .unwrap();
+    let admin = chain.instances[0].settings.admin.to_string();
+    let run = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_skylarkstream"));
+        let output = command
+            .args(arguments)
+            .args(["--admin", &admin])
+            .output()
+            .unwrap();
+        let error = String::from_utf8_lossy(&output.stderr).replace(&admin, "ADMIN");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (output.status.code(), text, error)
+    };
+    let (code, text, _) = run(&["status", "--json"]);
+    assert_eq!(code, Some(0));
+    let status: StatusReport = serde_json::from_str(&text).unwrap();
+    assert_eq!(status.profile.as_deref(), Some("tug-dispatch"));
+    let (code, text, _) = run(&["profiles", "--json"]);
+    assert_eq!(code, Some(0));
+    let report: ProfilesReport = serde_json::from_str(&text).unwrap();
+    let digest = PROFILE.parse::<ServiceProfile>().unwrap().digest();
+    assert_eq!(report.profiles[0].canonical_digest, Some(digest));
+    let (code, text, _) = run(&["explain", "POST", "/assignments"]);
+    assert_eq!(code, Some(0));
+    assert_snapshot!(text);
+    let (code, text, error) = run(&["explain", "GET", "/x", "--class", "none"]);
+    assert_eq!((code, text.as_str()), (Some(1), ""));
+    assert_snapshot!(error);
+    chain.stop().await;
+    let (code, _, error) = run(&["status"]);
+    assert_eq!(code, Some(1));
+    assert_snapshot!(error);
+}
--- a/tests/profile_format.rs
+++ b/tests/profile_format.rs
@@ -151,6 +151,20 @@
     );
 }
 
+/// Guards against a profile whose nesting exhausts the stack of every daemon that reads it.
+#[test]
+fn deep_nesting_is_refused() {
+    const DEPTH: usize = 200_000;
+    let dotted = format!("{}a = 1", "a.".repeat(DEPTH));
+    let header = format!("[{}a]", "a.".repeat(DEPTH));
+    let array = format!("x = {}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+    let inline = format!("x = {}1{}", "{a=".repeat(DEPTH), "}".repeat(DEPTH));
+    for text in [dotted, header, array, inline] {
+        let verdict = format!("{MINIMAL}{text}\n").parse::<ServiceProfile>();
+        assert!(matches!(verdict, Err(ProfileError::Syntax { .. })));
+    }
+}
+
 /// Guards against a message that repeats a hostile key at full length or with line breaks.
 #[test]
 fn messages_are_bounded_and_on_one_line() {
