--- a/src/shell.rs
+++ b/src/shell.rs
@@ -8,6 +8,7 @@
 pub mod http_server;
 pub mod logging;
 pub mod metrics;
+pub mod metrics_attempts;
 pub mod metrics_requests;
 pub mod platform_client;
 pub mod profiles_report;
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -18,8 +18,12 @@
     },
     settings::DaemonSettings,
     shell::{
-        admin_server, http_client::HttpClient, http_server, metrics::DaemonMetrics,
-        platform_client::PlatformClient, span_recorder::SpanRecorder,
+        admin_server,
+        http_client::HttpClient,
+        http_server,
+        metrics::DaemonMetrics,
+        platform_client::PlatformClient,
+        span_recorder::{FLUSH_TIMEOUT, SpanRecorder},
     },
 };
 use std::{io, panic::RefUnwindSafe};
@@ -179,7 +183,7 @@
     );
     inner_stop.send_replace(true);
     while inner.join_next().await.is_some() {}
-    daemon.spans.flush().await;
+    daemon.spans.flush(FLUSH_TIMEOUT).await;
     log::info!("daemon: Stopped.");
     Ok(())
 }
--- a/src/shell/metrics.rs
+++ b/src/shell/metrics.rs
@@ -1,8 +1,10 @@
 //! Metrics of one daemon.
 
 use crate::{
-    common::*, controller::gate_controller::GateLoad, decision::request_priority::RequestPriority,
-    shell::metrics_requests::RequestCounters,
+    common::*,
+    controller::gate_controller::GateLoad,
+    decision::request_priority::RequestPriority,
+    shell::{metrics_attempts::AttemptCounters, metrics_requests::RequestCounters},
 };
 use prometheus_client::{
     encoding::text,
@@ -23,13 +25,6 @@
 
 type Labels = Vec<(&'static str, String)>;
 
-/// Handles of the attempts at one service.
-#[derive(Clone, Debug)]
-struct AttemptCounters {
-    first: Counter,
-    extra: Counter,
-}
-
 /// Gauges that are set when the metrics are read.
 #[derive(Debug, Default)]
 struct LoadGauges {
@@ -46,7 +41,7 @@
 pub struct DaemonMetrics {
     registry: Registry,
     requests: Arc<RequestCounters>,
-    attempts: IndexMap<SmolStr, AttemptCounters>,
+    attempts: Arc<AttemptCounters>,
     added_latency: Histogram,
     profile_version: Family<Labels, Gauge>,
     profile_lag: Histogram,
@@ -62,21 +57,17 @@
         let added_latency = Histogram::new(exponential_buckets(start, factor, length));
         let (start, factor, length) = LAG_BUCKETS;
         let profile_lag = Histogram::new(exponential_buckets(start, factor, length));
-        let attempts = Family::<Labels, Counter>::default();
         let mut metrics = Self {
             registry: Registry::with_prefix("skylark"),
             requests: Arc::default(),
-            attempts: services
-                .iter()
-                .map(|service| (service.clone(), AttemptCounters::new(&attempts, service)))
-                .collect(),
+            attempts: Arc::new(AttemptCounters::new(services)),
             added_latency,
             profile_version: Family::default(),
             profile_lag,
             drains: Counter::default(),
             load: LoadGauges::default(),
         };
-        metrics.register(attempts);
+        metrics.register();
         let help = "Spans that were not exported";
         metrics
             .registry
@@ -84,10 +75,10 @@
         metrics
     }
 
-    fn register(&mut self, attempts: Family<Labels, Counter>) {
+    fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register_collector(Box::new(Arc::clone(&self.requests)));
-        registry.register("attempts", "Attempts sent to other services", attempts);
+        registry.register_collector(Box::new(Arc::clone(&self.attempts)));
         registry.register_with_unit(
             "added_latency",
             "Time to the response head less the time of the backend server",
@@ -117,21 +108,12 @@
 
     /// Counts an attempt at a service.
     pub fn count_attempt(&self, service: &str, is_extra: bool) {
-        if let Some(counters) = self.attempts.get(service) {
-            let counter = if is_extra {
-                &counters.extra
-            } else {
-                &counters.first
-            };
-            counter.inc();
-        }
+        self.attempts.count(service, is_extra);
     }
 
     /// Returns the first and extra attempts sent to a service.
     pub fn attempts(&self, service: &str) -> (u64, u64) {
-        self.attempts.get(service).map_or((0, 0), |counters| {
-            (counters.first.get(), counters.extra.get())
-        })
+        self.attempts.get(service)
     }
 
     /// Records the latency that the daemon added to one request.
@@ -163,19 +145,6 @@
     }
 }
 
-impl AttemptCounters {
-    fn new(family: &Family<Labels, Counter>, service: &str) -> Self {
-        let counter = |kind: &str| {
-            let labels = vec![("service", service.to_owned()), ("kind", kind.to_owned())];
-            family.get_or_create(&labels).clone()
-        };
-        Self {
-            first: counter("first"),
-            extra: counter("extra"),
-        }
-    }
-}
-
 impl LoadGauges {
     fn register(&self, registry: &mut Registry) {
         let gauges = [
--- a/src/shell/span_recorder.rs
+++ b/src/shell/span_recorder.rs
@@ -16,8 +16,8 @@
 /// Spans that wait for export; further spans are dropped.
 const QUEUE_LENGTH: usize = 4_096;
 
-/// Longest time that a flush waits for a slow receiver of spans.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time that a stopping daemon waits for a slow receiver of spans.
+pub const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Span of one hop.
 #[derive(Clone, Debug)]
@@ -112,8 +112,8 @@
         }
     }
 
-    /// Waits until the spans recorded so far are exported or lost.
-    pub async fn flush(&self) {
+    /// Waits until the spans recorded so far are exported or lost, for at most `limit`.
+    pub async fn flush(&self, limit: Duration) {
         let Some(sender) = &self.sender else {
             return;
         };
@@ -123,7 +123,7 @@
                 let _ = waiter.await;
             }
         };
-        let _ = tokio::time::timeout(FLUSH_TIMEOUT, flush).await;
+        let _ = tokio::time::timeout(limit, flush).await;
     }
 
     /// Returns the spans lost so far: dropped at a full queue or not exported.
--- /dev/null
+++ b/tests/operations_page.rs
@@ -0,0 +1,55 @@
+//! The operators' page against the code.
+
+use prometheus_client::metrics::counter::Counter;
+use skylarkstream::{
+    controller::gate_controller::GateLoad,
+    decision::{profile::service_profile::ServiceProfile, request_priority::RequestPriority},
+    shell::metrics::DaemonMetrics,
+};
+
+const PAGE: &str = include_str!("../docs/operations.md");
+
+/// Guards against a metric that the page does not describe.
+#[test]
+fn page_lists_every_metric() {
+    let load = GateLoad {
+        in_flight: 0,
+        queued: 0,
+        limit: 1,
+    };
+    let metrics = DaemonMetrics::new(&[], Counter::default());
+    let text = metrics.text(load, RequestPriority::LOWEST);
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    for line in names {
+        let (name, kind) = line.split_once(' ').unwrap();
+        let suffix = if kind == "counter" { "_total" } else { "" };
+        let name = format!("`{name}{suffix}`");
+        assert!(PAGE.contains(&name), "{name}");
+    }
+}
+
+/// Guards against a profile key that the page does not describe, or a default that it states
+/// wrongly.
+#[test]
+fn page_lists_every_profile_key_with_its_default() {
+    let profile: ServiceProfile = "name = \"p\"\ndefault_class = \"a\"\nclasses = { a = 0 }\n"
+        .parse()
+        .unwrap();
+    let mut table = String::new();
+    for line in profile.canonical().lines() {
+        if let Some(name) = line.strip_prefix('[') {
+            table = format!("{}.", name.trim_end_matches(']'));
+        }
+        let Some((key, value)) = line.split_once(" = ") else {
+            continue;
+        };
+        let is_default = !table.is_empty() && table != "classes." || key.ends_with("_ms");
+        if is_default {
+            let value = value.trim_matches('"');
+            let row = |value: &str| format!("| `{table}{key}` | {value} |");
+            let is_listed =
+                PAGE.contains(&row(value)) || PAGE.contains(&row(&format!("`{value}`")));
+            assert!(is_listed, "{}", row(value));
+        }
+    }
+}
