--- a/src/filter/metrics_filter.rs
+++ b/src/filter/metrics_filter.rs
@@ -39,9 +39,16 @@
             let mut guard = CancelGuard {
                 daemon: Some(Arc::clone(&self.daemon)),
             };
-            let (state, response) = chain(state).await?;
+            let result = chain(state).await;
             guard.daemon = None;
             let metrics = &self.daemon.metrics;
+            let (state, response) = match result {
+                Ok(answered) => answered,
+                Err(failed) => {
+                    metrics.count_request("unknown", "other", None);
+                    return Err(failed);
+                }
+            };
             let class = state
                 .try_borrow::<CallState>()
                 .map(|call| call.0.priority.class);
