Read the versions of profiles when the metrics are read

The version metric depended on a hook at the place where a profile comes in force, which the catalogue exchange replaces. It is now read from the profiles in force.

--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -107,6 +107,12 @@
 
     /// Writes all metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
+        let services = std::iter::once(&self.settings.service).chain(&self.settings.calls);
+        for service in services {
+            if let Some(in_force) = self.profiles.get(service) {
+                self.metrics.set_profile_version(service, in_force.version);
+            }
+        }
         self.metrics.text(self.gate.load(), self.gate.threshold())
     }
 
@@ -118,9 +124,8 @@
         let version = || self.profiles.get(service).map(|found| found.version);
         let (before, start) = (version(), self.clock.now());
         self.profiles.refresh(platform, service).await?;
-        if let Some(version) = version().filter(|version| Some(*version) != before) {
-            let lag = self.clock.now() - start;
-            self.metrics.profile_in_force(service, version, lag);
+        if version() != before {
+            self.metrics.observe_profile_lag(self.clock.now() - start);
         }
         Ok(())
     }
--- a/src/shell/metrics.rs
+++ b/src/shell/metrics.rs
@@ -121,12 +121,16 @@
         self.added_latency.observe(latency.as_secs_f64());
     }
 
-    /// Records a version that came in force, and the time since it was first seen.
-    pub fn profile_in_force(&self, service: &str, version: u64, lag: Duration) {
+    /// Sets the version of the profile that a service runs under.
+    pub fn set_profile_version(&self, service: &str, version: u64) {
         let labels = vec![("service", service.to_owned())];
         self.profile_version
             .get_or_create(&labels)
             .set(version as i64);
+    }
+
+    /// Records the time from the first sight of a profile version until it was in force.
+    pub fn observe_profile_lag(&self, lag: Duration) {
         self.profile_lag.observe(lag.as_secs_f64());
     }
 
--- a/tests/request_metrics.rs
+++ b/tests/request_metrics.rs
@@ -69,7 +69,8 @@
     for _ in 0..3 {
         get(caller.edge, "/assignments/7").await.unwrap();
     }
-    for line in [attempts, requests, latency] {
+    let version = "skylark_profile_version{service=\"gate-status\"} 1";
+    for line in [attempts, requests, latency, version] {
         wait_for(caller.admin, line).await;
     }
     for line in [requests, latency] {
