Tell refusal reasons apart without a list, and show peers in the status

The counters of requests held a list of reason codes that every new refusal would have had to extend. A reason now takes a free place when it first occurs; after 48 reasons the rest is counted as other.

The status shows peers heard from and in agreement. Usage errors start with the same word as other errors.

--- a/src/shell/status_report.rs
+++ b/src/shell/status_report.rs
@@ -36,6 +36,10 @@
     pub calls: Vec<CalledService>,
     /// Addresses asked at start.
     pub seed_peers: Vec<SocketAddr>,
+    /// Peers heard from lately.
+    pub peers_heard: usize,
+    /// Peers among them with the same catalogue.
+    pub peers_in_agreement: usize,
     /// Spans that were not exported.
     pub dropped_spans: u64,
 }
@@ -59,6 +63,7 @@
         let settings = &daemon.settings;
         let own = daemon.profiles.get(&settings.service);
         let profile = own.as_ref().map(|own| &own.profile);
+        let catalogue = daemon.profiles.report();
         let calls = settings.calls.iter().map(|service| {
             let (first_attempts, extra_attempts) = daemon.metrics.attempts(service);
             CalledService {
@@ -82,6 +87,8 @@
             retry: profile.map_or_else(RetryLimits::default, |it| it.retry.clone()),
             calls: calls.collect(),
             seed_peers: settings.seed_peers.clone(),
+            peers_heard: catalogue.peers_heard,
+            peers_in_agreement: catalogue.peers_in_agreement,
             dropped_spans: daemon.spans.dropped(),
         }
     }
@@ -128,6 +135,8 @@
             peers.join(", ")
         };
         writeln!(f, "seed peers  {peers}")?;
+        let (heard, equal) = (self.peers_heard, self.peers_in_agreement);
+        writeln!(f, "peers       {heard} heard from, {equal} in agreement")?;
         writeln!(f, "spans lost  {}", self.dropped_spans)?;
         if self.calls.is_empty() {
             return Ok(());
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -5,7 +5,7 @@
     settings::SettingsError,
     shell::{daemon::DaemonError, logging::LogError},
 };
-use bpaf::{Args, Bpaf};
+use bpaf::{Args, Bpaf, ParseFailure};
 use std::{
     io::{self, Write},
     path::PathBuf,
@@ -24,7 +24,7 @@
 const EXIT_FAILURE: u8 = 1;
 /// Exit code of a wrong command line.
 const EXIT_USAGE: u8 = 2;
-/// Width of help and usage errors, in columns.
+/// Width of the help, in columns.
 const HELP_WIDTH: usize = 100;
 
 /// Overload control for service call graphs.
@@ -99,9 +99,12 @@
     let subcommand = match subcommand().run_inner(Args::current_args()) {
         Ok(subcommand) => subcommand,
         Err(failure) => {
+            if let ParseFailure::Stderr(message) = &failure {
+                eprintln!("error: {}", message.monochrome(true));
+                return ExitCode::from(EXIT_USAGE);
+            }
             failure.print_message(HELP_WIDTH);
-            let is_help = failure.exit_code() == 0;
-            return ExitCode::from(if is_help { 0 } else { EXIT_USAGE });
+            return ExitCode::SUCCESS;
         }
     };
     let result = match subcommand {
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -12,7 +12,7 @@
 use log::{Level, Record};
 use opentelemetry_proto::tonic::collector::trace::v1::ExportTraceServiceRequest;
 use parking_lot::Mutex;
-use prometheus_client::metrics::counter::Counter;
+use prometheus_client::{encoding::text::encode, metrics::counter::Counter, registry::Registry};
 use prost::Message;
 use skylarkstream::{
     controller::gate_controller::GateLoad,
@@ -25,6 +25,7 @@
         http_server,
         logging::format_line,
         metrics::DaemonMetrics,
+        metrics_requests::RequestCounters,
         span_recorder::{HopSpan, SpanRecorder},
     },
 };
@@ -59,6 +60,24 @@
     assert_snapshot!(metrics.text(load, RequestPriority::LOWEST));
 }
 
+/// Guards against a reason that makes the array of counters grow or a request go uncounted.
+#[test]
+fn further_reasons_are_counted_together() {
+    let counters = RequestCounters::default();
+    for reason in 0..100 {
+        counters.count("not-run", &reason.to_string(), Some(0));
+    }
+    let mut registry = Registry::default();
+    registry.register_collector(Box::new(counters));
+    let mut text = String::new();
+    encode(&mut text, &registry).unwrap();
+    assert_eq!(text.matches("reason=").count(), 49);
+    assert!(
+        text.contains("reason=\"other\",class=\"0\"} 52\n"),
+        "{text}"
+    );
+}
+
 /// Guards against lines that a JSON reader cannot parse, and against messages from outside that
 /// forge a line.
 #[test]
