--- a/src/standin/service_chain.rs
+++ b/src/standin/service_chain.rs
@@ -3,7 +3,7 @@
 use crate::{
     common::*,
     experiment::work_log::WorkLog,
-    settings::DaemonSettings,
+    settings::{DaemonSettings, LogSettings},
     shell::{
         daemon::{self, DaemonError},
         http_server,
@@ -279,6 +279,8 @@
         platform,
         seed_peers: Vec::new(),
         calls: calls.map(|call| call.service.clone()).collect(),
+        log: LogSettings::default(),
+        trace_endpoint: None,
         trace_file: None,
     })
 }
