--- a/examples/hop_latency.rs
+++ b/examples/hop_latency.rs
@@ -82,6 +82,38 @@
     outbound: SocketAddr,
 }
 
+/// Processor time and memory of a process.
+struct ProcessUsage {
+    cpu_ticks: u64,
+    resident_kib: u64,
+}
+
+/// Clock ticks of `/proc` in a second on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Bytes of a page, in KiB.
+const PAGE_KIB: u64 = 4;
+
+impl ProcessUsage {
+    fn cpu_micros_since(&self, earlier: &Self) -> f64 {
+        (self.cpu_ticks - earlier.cpu_ticks) as f64 / TICKS_PER_SECOND * 1e6
+    }
+}
+
+impl DaemonProcess {
+    fn usage(&self) -> Result<ProcessUsage, Box<dyn Error>> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        // The command name ends with a parenthesis; the fields behind it start with the state.
+        let (_, fields) = stat.rsplit_once(')').ok_or("unexpected form of stat")?;
+        let fields: Vec<_> = fields.split_whitespace().collect();
+        let number = |index: usize| fields[index].parse::<u64>();
+        Ok(ProcessUsage {
+            cpu_ticks: number(11)? + number(12)?,
+            resident_kib: number(21)? * PAGE_KIB,
+        })
+    }
+}
+
 impl Drop for DaemonProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -121,6 +153,7 @@
         "| body (bytes) | rate (requests/s) | path | failed | p50 (ms) | p99 (ms) | p99 added (ms) |"
     );
     println!("|---|---|---|---|---|---|---|");
+    let mut costs = Vec::new();
     for (bytes, rate) in [
         (0, 200),
         (0, 1_000),
@@ -129,13 +162,30 @@
         (65_536, 200),
         (1 << 20, 20),
     ] {
-        measure_row(&paths, bytes, rate).await?;
+        let before = (called.usage()?, caller.usage()?);
+        let calls = measure_row(&paths, bytes, rate).await?;
+        let after = (called.usage()?, caller.usage()?);
+        costs.push(format!(
+            "| {bytes} | {rate} | {:.0} | {:.0} | {} |",
+            // The called daemon handles the entry call and the service call of each round.
+            after.0.cpu_micros_since(&before.0) / f64::from(2 * calls),
+            after.1.cpu_micros_since(&before.1) / f64::from(calls),
+            after.0.resident_kib.max(after.1.resident_kib),
+        ));
+    }
+    println!();
+    println!(
+        "| body (bytes) | rate (requests/s) | inbound CPU (us/call) | outbound CPU (us/call) | largest RSS (KiB) |"
+    );
+    println!("|---|---|---|---|---|");
+    for cost in costs {
+        println!("{cost}");
     }
     stop.send_replace(true);
     Ok(())
 }
 
-async fn measure_row(paths: &[CallPath], bytes: usize, rate: u32) -> Result<(), Box<dyn Error>> {
+async fn measure_row(paths: &[CallPath], bytes: usize, rate: u32) -> Result<u32, Box<dyn Error>> {
     let client = HttpClient::new();
     let body = Bytes::from(vec![b'x'; bytes]);
     let gap = Duration::from_secs(1) / rate;
@@ -178,7 +228,7 @@
             ms(p99) - ms(direct),
         );
     }
-    Ok(())
+    Ok(count)
 }
 
 async fn timed_call(client: &HttpClient, address: SocketAddr, body: &Bytes) -> Option<Duration> {
