Decide admission by concurrency, priority and fair share

Cause: the gate had a fixed limit, no threshold and no estimate of the service time, and retries had no budget. Change: concurrency limit from paired phases, ordered queue, threshold, fair share, learned thresholds of other services, retry budget and Retry-After spreading.

--- a/src/decision/admission/admission_gate.rs
+++ b/src/decision/admission/admission_gate.rs
@@ -2,10 +2,23 @@
 
 use crate::{
     common::*,
-    decision::{profile::service_profile::AdmissionLimits, request_priority::RequestPriority},
+    decision::{
+        admission::{
+            admission_queue::AdmissionQueue,
+            admission_threshold::AdmissionThreshold,
+            concurrency_limit::{ConcurrencyLimit, StartMark},
+            fair_share::FairShare,
+            service_time::ServiceTime,
+        },
+        profile::service_profile::AdmissionLimits,
+        request_priority::RequestPriority,
+    },
 };
 use slotmap::{SlotMap, new_key_type};
 
+/// Gap between two polls that counts as a pause of the process.
+const PAUSE: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// Key of a request that waits at the gate or runs behind it.
     pub struct GateKey;
@@ -71,11 +84,9 @@
     Aborted,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct GateEntry {
-    request: GateRequest,
-    offered: Instant,
-    started: Option<Instant>,
+    started: Option<(StartMark, Instant)>,
 }
 
 /// Admits requests to the backend server in the order of their priority.
@@ -86,8 +97,13 @@
 pub struct AdmissionGate {
     limits: AdmissionLimits,
     entries: SlotMap<GateKey, GateEntry>,
-    waiting: Vec<GateKey>,
+    queue: AdmissionQueue,
+    limit: ConcurrencyLimit,
+    share: FairShare,
+    threshold: AdmissionThreshold,
+    service_time: ServiceTime,
     in_flight: u32,
+    last_poll: Option<Instant>,
     decisions: Vec<GateDecision>,
 }
 
@@ -95,64 +111,72 @@
     /// Creates a gate with the bounds of a profile.
     pub fn new(limits: AdmissionLimits) -> Self {
         Self {
+            limit: ConcurrencyLimit::new(&limits),
             limits,
             entries: SlotMap::with_key(),
-            waiting: Vec::new(),
+            queue: AdmissionQueue::default(),
+            share: FairShare::default(),
+            threshold: AdmissionThreshold::default(),
+            service_time: ServiceTime::default(),
             in_flight: 0,
+            last_poll: None,
             decisions: Vec::new(),
         }
     }
 
     /// Puts new bounds in force; requests that run or wait are kept.
     pub fn set_limits(&mut self, limits: AdmissionLimits) {
+        self.limit.set_bounds(&limits);
         self.limits = limits;
     }
 
     /// Offers a request; its decision comes out of a later [`AdmissionGate::poll`].
     pub fn offer(&mut self, request: GateRequest, now: Instant) -> GateKey {
-        let key = self.entries.insert(GateEntry {
-            request,
-            offered: now,
-            started: None,
-        });
-        self.waiting.push(key);
+        let key = self.entries.insert(GateEntry::default());
+        if self.threshold.admits(request.priority) {
+            self.queue.push(key, request, now);
+        } else {
+            self.shed(key, ShedReason::Threshold);
+        }
         key
     }
 
     /// Reports the end of a started request, or withdraws a waiting one.
-    pub fn finish(&mut self, key: GateKey, _result: WorkResult, _now: Instant) {
+    pub fn finish(&mut self, key: GateKey, result: WorkResult, now: Instant) {
         let Some(entry) = self.entries.remove(key) else {
             return;
         };
-        if entry.started.is_some() {
-            self.in_flight -= 1;
-        } else {
-            self.waiting.retain(|waiting| *waiting != key);
+        let Some((mark, started)) = entry.started else {
+            self.queue.remove(key);
+            return;
+        };
+        self.in_flight -= 1;
+        self.limit.on_end(mark, result, now);
+        if result == WorkResult::Completed {
+            self.service_time.observe(now - started, now);
         }
     }
 
     /// Returns the decisions due now.
     pub fn poll(&mut self, now: Instant) -> Vec<GateDecision> {
-        self.shed_expired(now);
-        self.waiting
-            .sort_by_key(|key| Self::order(&self.entries[*key].request));
-        while self.in_flight < self.limits.initial_concurrency && !self.waiting.is_empty() {
-            let key = self.waiting.remove(0);
-            self.entries[key].started = Some(now);
-            self.in_flight += 1;
-            self.decisions.push(GateDecision::Start(key));
+        self.detect_pause(now);
+        self.shed_late(now);
+        while self.in_flight < self.limit.current() {
+            let Some((key, request)) = self.queue.take_next(&self.share, now) else {
+                break;
+            };
+            self.start(key, &request, now);
         }
-        while self.waiting.len() > self.limits.queue_length as usize {
-            if let Some(key) = self.waiting.pop() {
-                self.shed(key, ShedReason::QueueFull);
-            }
+        self.shed_overload(now);
+        if self.queue.is_empty() {
+            self.threshold.rise(now);
         }
         std::mem::take(&mut self.decisions)
     }
 
     /// Returns the lowest priority that is admitted now.
     pub fn threshold(&self) -> RequestPriority {
-        RequestPriority::LOWEST
+        self.threshold.priority()
     }
 
     /// Returns the requests in flight.
@@ -162,37 +186,53 @@
 
     /// Returns the requests that wait for a slot.
     pub fn queued(&self) -> usize {
-        self.waiting.len()
+        self.queue.len()
     }
 
     /// Returns the concurrency limit in force.
     pub fn limit(&self) -> u32 {
-        self.limits.initial_concurrency
+        self.limit.current()
     }
 
-    fn order(request: &GateRequest) -> (RequestPriority, Instant) {
-        (request.priority, request.entered)
+    fn start(&mut self, key: GateKey, request: &GateRequest, now: Instant) {
+        self.in_flight += 1;
+        self.share.charge(&request.caller_service, now);
+        let mark = self.limit.on_start(self.in_flight, now);
+        self.entries[key].started = Some((mark, now));
+        self.decisions.push(GateDecision::Start(key));
     }
 
-    fn shed_expired(&mut self, now: Instant) {
+    /// Drops all measurements when the process did not run for a while.
+    fn detect_pause(&mut self, now: Instant) {
+        if self.last_poll.is_some_and(|last| now > last + PAUSE) {
+            self.limit.restart();
+            self.service_time.reset();
+            self.threshold.reset();
+        }
+        self.last_poll = Some(now);
+    }
+
+    fn shed_late(&mut self, now: Instant) {
+        let service_time = self.service_time.mean(now).unwrap_or_default();
+        for key in self.queue.take_late(service_time, now) {
+            self.shed(key, ShedReason::Deadline);
+        }
+    }
+
+    fn shed_overload(&mut self, now: Instant) {
+        let cut = self.queue.cut();
         let wait = Duration::from_millis(self.limits.queue_wait_ms.into());
-        let expired: Vec<_> = self
-            .waiting
-            .iter()
-            .filter_map(|key| {
-                let entry = &self.entries[*key];
-                if entry.request.deadline <= now {
-                    Some((*key, ShedReason::Deadline))
-                } else if entry.offered + wait < now {
-                    Some((*key, ShedReason::QueueWait))
-                } else {
-                    None
-                }
-            })
-            .collect();
-        for (key, reason) in expired {
-            self.waiting.retain(|waiting| *waiting != key);
-            self.shed(key, reason);
+        let shed_before = self.decisions.len();
+        for key in self.queue.take_overdue(wait, now) {
+            self.shed(key, ShedReason::QueueWait);
+        }
+        while self.queue.len() > self.limits.queue_length as usize {
+            if let Some(key) = self.queue.take_least() {
+                self.shed(key, ShedReason::QueueFull);
+            }
+        }
+        if let Some(cut) = cut.filter(|_| self.decisions.len() > shed_before) {
+            self.threshold.fall_below(cut, now);
         }
     }
 
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -1,3 +1,5 @@
 //! Bounds on extra attempts.
 
 pub mod attempt_ledger;
+pub mod retry_after;
+pub mod retry_budget;
