Move the concurrency limit only by phases that reach it

Cause: an unsaturated backend server shows the same latency at both limits, so that the limit of the deepest service drifted up to its bound and requests queued inside the backend server. Change: a phase counts only when its mean concurrency is at least 90% of the limit.

--- a/src/decision/admission/concurrency_limit.rs
+++ b/src/decision/admission/concurrency_limit.rs
@@ -14,6 +14,9 @@
 /// Least ratio of the measured concurrencies; a smaller one means that the limit was not reached.
 const MIN_RATIO: f64 = 1.08;
 
+/// Least mean concurrency, as a share of the limit, of a phase that counts.
+const MIN_REACHED: f64 = 0.9;
+
 /// Elasticity between a backend server with free slots (0) and a saturated one (1).
 const TARGET_ELASTICITY: f64 = 0.5;
 
@@ -141,6 +144,11 @@
         self.samples.latency += latency;
         let long_enough = now >= start + Duration::from_secs_f64(3.0 * self.latency);
         if self.samples.count >= MIN_SAMPLES && long_enough {
+            // A limit that was not reached tells nothing about the slots.
+            let reached = self.samples.mean().0 / f64::from(self.current());
+            if reached < MIN_REACHED {
+                return self.restart();
+            }
             self.compare();
             self.previous = Some(self.samples);
             self.next_phase(Some(now));
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -201,3 +201,31 @@
         recovery: true
     }
 );
+
+/// Guards against a limit that loses slots when service times rise fivefold, or that lets requests
+/// queue inside the backend server. The lower bound is the goodput target of 90%.
+#[test]
+fn limit_finds_the_slots() {
+    let mut missed = Vec::new();
+    for slots in [25, 60, 110] {
+        for length in [10, 18, 26] {
+            let mut single = scenario("single_service", 2.0, &[(Fault::Slow(5.0), 10, 18)]);
+            single.services = vec![Service {
+                name: "crew-roster",
+                instances: 1,
+                slots,
+                service_ms: 60,
+            }];
+            single.length = seconds(length);
+            let limits = Chain::run(&single, Control::Full).limits();
+            let range = slots as f64 * 0.9..slots as f64 * 1.3;
+            if !limits
+                .iter()
+                .all(|limit| range.contains(&f64::from(*limit)))
+            {
+                missed.push(format!("{slots} slots at {length} s: {limits:?}"));
+            }
+        }
+    }
+    assert!(missed.is_empty(), "limits off the slots: {missed:#?}");
+}
