Compare limits 15% around their middle and raise the gain by agreement

Cause: two phases of 64 samples at 10% distance are too noisy; the limit missed two of the nine checks of limit_finds_the_slots. Change: spread 15%, phases count from 85% of the limit on, gain 0.08 that grows from the third agreeing comparison on, target elasticity 0.6.

--- a/src/decision/admission/concurrency_limit.rs
+++ b/src/decision/admission/concurrency_limit.rs
@@ -6,7 +6,7 @@
 };
 
 /// Distance of the two compared limits from their middle.
-const SPREAD: f64 = 0.1;
+const SPREAD: f64 = 0.15;
 
 /// Fewest samples in each phase of a comparison.
 const MIN_SAMPLES: u32 = 64;
@@ -15,13 +15,17 @@
 const MIN_RATIO: f64 = 1.08;
 
 /// Least mean concurrency, as a share of the limit, of a phase that counts.
-const MIN_REACHED: f64 = 0.9;
+const MIN_REACHED: f64 = 0.85;
 
 /// Elasticity between a backend server with free slots (0) and a saturated one (1).
-const TARGET_ELASTICITY: f64 = 0.5;
+const TARGET_ELASTICITY: f64 = 0.6;
 
-/// Relative change of the limit for each unit of elasticity off the target.
-const GAIN: f64 = 0.25;
+/// Relative change of the limit for each unit of elasticity off the target. A single comparison of
+/// two phases is noisy; the change grows with the number of comparisons in a row that agree.
+const GAIN: f64 = 0.08;
+
+/// Most comparisons in a row that count for the gain.
+const MAX_RUN: u8 = 6;
 
 /// Factor on the concurrency at which the backend server refused.
 const REFUSAL_FACTOR: f64 = 0.95;
@@ -64,6 +68,8 @@
     samples: PhaseSamples,
     previous: Option<PhaseSamples>,
     latency: f64,
+    last_error: f64,
+    run: u8,
     last_refusal: Option<Instant>,
 }
 
@@ -79,6 +85,8 @@
             samples: PhaseSamples::default(),
             previous: None,
             latency: 0.0,
+            last_error: 0.0,
+            run: 0,
             last_refusal: None,
         };
         limit.set_bounds(limits);
@@ -183,7 +191,14 @@
             return;
         }
         let elasticity = ((latency / latency_before).ln() / ratio.ln()).clamp(-0.5, 1.5);
-        let change = GAIN * (TARGET_ELASTICITY - elasticity);
+        let error = TARGET_ELASTICITY - elasticity;
+        self.run = if error.is_sign_positive() == self.last_error.is_sign_positive() {
+            (self.run + 1).min(MAX_RUN)
+        } else {
+            1
+        };
+        self.last_error = error;
+        let change = GAIN * f64::from(self.run.saturating_sub(2).max(1)) * error;
         self.middle = (self.middle * change.exp()).clamp(self.min, self.max);
     }
 }
