--- a/src/filter/inbound_chain.rs
+++ b/src/filter/inbound_chain.rs
@@ -3,11 +3,13 @@
 use crate::{
     common::*,
     filter::{
+        accept_filter::AcceptFilter,
         admission_filter::AdmissionFilter,
         backend_handler::BackendHandler,
         classify_filter::ClassifyFilter,
         identify_filter::{IdentifyFilter, RequestOrigin},
         ledger_filter::LedgerFilter,
+        lifecycle_filter::LifecycleFilter,
         metrics_filter::MetricsFilter,
     },
     shell::daemon::DaemonState,
@@ -41,6 +43,10 @@
             .add(MetricsFilter {
                 daemon: Arc::clone(daemon),
             })
+            .add(LifecycleFilter {
+                daemon: Arc::clone(daemon),
+                origin,
+            })
             .add(IdentifyFilter {
                 daemon: Arc::clone(daemon),
                 origin,
@@ -48,6 +54,9 @@
             .add(ClassifyFilter {
                 daemon: Arc::clone(daemon),
             })
+            .add(AcceptFilter {
+                daemon: Arc::clone(daemon),
+            })
             .add(LedgerFilter {
                 daemon: Arc::clone(daemon),
             })
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -17,7 +17,7 @@
 pub const MAX_SETTINGS_BYTES: usize = 1 << 20;
 
 /// Settings of one daemon, read from a TOML file at start.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
     /// Name of the cluster; daemons of other clusters are refused.
@@ -51,6 +51,10 @@
     /// Level and format of the log.
     #[serde(default)]
     pub log: LogSettings,
+    /// Time in milliseconds for which a draining daemon accepts connections and refuses their
+    /// requests. Idle connections of other daemons end after 4 s; a shorter time can break them.
+    #[serde(default = "default_refusal_ms")]
+    pub refusal_ms: u64,
     /// Address that takes spans by OTLP over HTTP.
     #[serde(default)]
     pub trace_endpoint: Option<SocketAddr>,
@@ -59,6 +63,10 @@
     pub trace_file: Option<PathBuf>,
 }
 
+fn default_refusal_ms() -> u64 {
+    5_000
+}
+
 impl DaemonSettings {
     /// Reads the settings from a file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
--- a/src/settings/log_settings.rs
+++ b/src/settings/log_settings.rs
@@ -4,7 +4,7 @@
 use log::LevelFilter;
 
 /// Level and format of the log.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// Least severe level that is written.
@@ -14,7 +14,7 @@
 }
 
 /// Severity of a log line.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogLevel {
     /// The daemon cannot do its work.
@@ -31,7 +31,7 @@
 }
 
 /// Format of a log line.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogFormat {
     /// Text for people.
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -2,14 +2,17 @@
 
 pub mod admin_server;
 pub mod daemon;
+mod daemon_lifecycle;
 pub mod explain_codec;
 pub mod header_names;
 pub mod http_client;
 pub mod http_server;
+mod lifecycle_routes;
 pub mod logging;
 pub mod metrics;
 pub mod metrics_attempts;
 pub mod metrics_requests;
+mod peer_probe;
 pub mod platform_client;
 pub mod profiles_report;
 pub mod span_encoding;
--- a/src/shell/admin_server.rs
+++ b/src/shell/admin_server.rs
@@ -6,6 +6,7 @@
     shell::{
         daemon::DaemonState,
         explain_codec::{self, ExplainQueryError},
+        lifecycle_routes,
         profiles_report::ProfilesReport,
         status_report::StatusReport,
     },
@@ -143,10 +144,11 @@
                 page,
             });
         }
+        lifecycle_routes::add(route, daemon);
     })
 }
 
-fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+pub(super) fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
     let mut response = response(bytes, "application/json");
     *response.status_mut() = status;
--- a/src/standin/service_chain.rs
+++ b/src/standin/service_chain.rs
@@ -6,16 +6,24 @@
     settings::{DaemonSettings, LogSettings},
     shell::{
         daemon::{self, DaemonError},
+        http_client::HttpClient,
         http_server,
     },
     standin::{
         backend_server::{BackendBehaviour, BackendServer},
+        daemon_process::DaemonProcess,
+        loopback_address,
         plain_router::PlainRouter,
         platform_service::PlatformService,
     },
 };
-use gotham::handler::NewHandler;
-use std::{io, net::Ipv4Addr, path::PathBuf};
+use gotham::{handler::NewHandler, helpers::http::Body};
+use http::Request;
+use std::{
+    io,
+    net::Ipv4Addr,
+    path::{Path, PathBuf},
+};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 /// Interval of the checks whether a daemon is ready.
@@ -29,6 +37,8 @@
     trace_file: Option<PathBuf>,
     log: WorkLog,
     is_uncontrolled: bool,
+    refusal_ms: u64,
+    binary: Option<(SmolStr, PathBuf)>,
 }
 
 #[derive(Debug)]
@@ -46,8 +56,24 @@
     pub settings: DaemonSettings,
     /// Backend server beside the daemon.
     pub backend: BackendServer,
-    stop: watch::Sender<bool>,
-    task: JoinHandle<Result<(), DaemonError>>,
+    /// Daemon beside the backend server.
+    pub daemon: ChainDaemon,
+}
+
+/// Daemon of a chain.
+#[derive(Debug)]
+pub enum ChainDaemon {
+    /// Task of this process.
+    Task {
+        /// Starts the drain.
+        stop: watch::Sender<bool>,
+        /// Ends with the daemon.
+        task: JoinHandle<Result<(), DaemonError>>,
+    },
+    /// Process of its own.
+    Process(DaemonProcess),
+    /// No daemon, since the chain runs without control.
+    Absent,
 }
 
 /// Running chain.
@@ -102,7 +128,19 @@
         self
     }
 
-    /// Starts the chain and waits until each daemon has a profile in force.
+    /// Sets the refusal time of all daemons; it is zero by default, so that a chain stops fast.
+    pub fn refusal_ms(mut self, refusal_ms: u64) -> Self {
+        self.refusal_ms = refusal_ms;
+        self
+    }
+
+    /// Runs the daemons of a service as processes of a binary.
+    pub fn run_as_processes(mut self, service: &str, binary: PathBuf) -> Self {
+        self.binary = Some((service.into(), binary));
+        self
+    }
+
+    /// Starts the chain and waits until each daemon serves.
     pub async fn start(self) -> io::Result<ServiceChain> {
         let stop = watch::Sender::new(false);
         let platform = PlatformService::new();
@@ -113,36 +151,42 @@
         for (name, text) in &self.profiles {
             platform.publish(&format!("profiles/{name}"), text);
         }
-        let plans = self.instance_plans(platform_address).await?;
+        let plans = self.instance_plans(platform_address)?;
         publish_services(&platform, &self.services, &plans);
         let router = self.is_uncontrolled.then(|| plain_router(&plans));
         let mut instances = Vec::new();
         for (settings, behaviour) in plans {
             let backend = BackendServer::with_log(behaviour, settings.outbound, self.log.clone());
             serve_on(settings.backend, backend.clone(), &stop).await?;
+            let binary = self.binary.as_ref();
+            let binary = binary.filter(|(service, _)| *service == settings.service);
+            let binary = binary.map(|(_, path)| path.as_path());
             instances.push(match &router {
                 Some(router) => start_router(settings, backend, router.clone(), &stop).await?,
-                None => start_daemon(settings, backend),
+                None => start_daemon(settings, backend, binary)?,
             });
         }
-        let chain = ServiceChain {
+        let mut chain = ServiceChain {
             platform,
             instances,
             stop,
         };
-        chain.wait_ready().await;
+        for instance in &mut chain.instances {
+            instance.wait_ready().await?;
+        }
         Ok(chain)
     }
 
-    async fn instance_plans(
+    fn instance_plans(
         &self,
         platform: SocketAddr,
     ) -> io::Result<Vec<(DaemonSettings, BackendBehaviour)>> {
         let mut plans = Vec::new();
         for plan in &self.services {
             for index in 1..=plan.instances {
-                let mut settings = instance_settings(plan, index, platform).await?;
+                let mut settings = instance_settings(plan, index, platform)?;
                 settings.trace_file = self.trace_file.clone();
+                settings.refusal_ms = self.refusal_ms;
                 plans.push((settings, plan.behaviour.clone()));
             }
         }
@@ -163,26 +207,44 @@
             .filter(move |instance| instance.settings.service == name)
     }
 
-    /// Drains all daemons, then ends the backend servers and the platform.
+    /// Drains the daemons of this process and kills the others, then ends the backend servers and the platform.
     pub async fn stop(self) {
         for instance in self.instances {
-            instance.stop.send_replace(true);
-            let _ = instance.task.await;
+            if let ChainDaemon::Task { stop, task } = instance.daemon {
+                stop.send_replace(true);
+                let _ = task.await;
+            }
         }
         self.stop.send_replace(true);
     }
+}
 
-    async fn wait_ready(&self) {
-        for instance in &self.instances {
-            while tokio::net::TcpStream::connect(instance.settings.edge)
-                .await
-                .is_err()
-            {
-                tokio::time::sleep(READY_POLL).await;
+impl ChainInstance {
+    /// Waits until the daemon serves; fails when it has ended.
+    pub async fn wait_ready(&mut self) -> io::Result<()> {
+        while !self.is_ready().await {
+            let has_ended = match &mut self.daemon {
+                ChainDaemon::Task { task, .. } => task.is_finished(),
+                ChainDaemon::Process(process) => process.try_wait()?.is_some(),
+                ChainDaemon::Absent => return Ok(()),
+            };
+            if has_ended {
+                return Err(io::Error::other("The daemon ended before it served."));
             }
+            tokio::time::sleep(READY_POLL).await;
         }
-        // A daemon opens its listeners before it has read the platform.
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        Ok(())
+    }
+
+    /// Returns whether `/ready` says that the daemon serves.
+    pub async fn is_ready(&self) -> bool {
+        let admin = self.settings.admin;
+        let request = Request::get(format!("http://{admin}/ready")).body(Body::default());
+        let Ok(request) = request else {
+            return false;
+        };
+        let response = HttpClient::new().send(admin, request).await;
+        response.is_ok_and(|response| response.status().is_success())
     }
 }
 
@@ -196,15 +258,24 @@
     Ok(())
 }
 
-fn start_daemon(settings: DaemonSettings, backend: BackendServer) -> ChainInstance {
-    let stop = watch::Sender::new(false);
-    let task = tokio::spawn(daemon::run(settings.clone(), stop.subscribe()));
-    ChainInstance {
+fn start_daemon(
+    settings: DaemonSettings,
+    backend: BackendServer,
+    binary: Option<&Path>,
+) -> io::Result<ChainInstance> {
+    let daemon = match binary {
+        Some(binary) => ChainDaemon::Process(DaemonProcess::start(binary, &settings)?),
+        None => {
+            let stop = watch::Sender::new(false);
+            let task = tokio::spawn(daemon::run(settings.clone(), stop.subscribe()));
+            ChainDaemon::Task { stop, task }
+        }
+    };
+    Ok(ChainInstance {
         settings,
         backend,
-        stop,
-        task,
-    }
+        daemon,
+    })
 }
 
 /// Starts a router for the calls of a backend server; callers reach the backend server directly.
@@ -219,8 +290,7 @@
     Ok(ChainInstance {
         settings,
         backend,
-        stop: watch::Sender::new(false),
-        task: tokio::spawn(async { Ok(()) }),
+        daemon: ChainDaemon::Absent,
     })
 }
 
@@ -259,7 +329,7 @@
     )
 }
 
-async fn instance_settings(
+fn instance_settings(
     plan: &ServicePlan,
     index: usize,
     platform: SocketAddr,
@@ -270,25 +340,22 @@
         data_centre: "dc-1".into(),
         instance: format!("{}-{index}", plan.name).into(),
         service: plan.name.clone(),
-        backend: free_address().await?,
-        edge: free_address().await?,
-        peer: free_address().await?,
-        outbound: free_address().await?,
-        control: free_address().await?,
-        admin: free_address().await?,
+        backend: loopback_address::reserve()?,
+        edge: loopback_address::reserve()?,
+        peer: loopback_address::reserve()?,
+        outbound: loopback_address::reserve()?,
+        control: loopback_address::reserve()?,
+        admin: loopback_address::reserve()?,
         platform,
         seed_peers: Vec::new(),
         calls: calls.map(|call| call.service.clone()).collect(),
         log: LogSettings::default(),
         trace_endpoint: None,
         trace_file: None,
+        refusal_ms: 0,
     })
 }
 
 async fn loopback_listener() -> io::Result<TcpListener> {
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
 }
-
-async fn free_address() -> io::Result<SocketAddr> {
-    loopback_listener().await?.local_addr()
-}
