Spread the catalogue between daemons by gossip

Each daemon read the platform for itself, so that platform calls grew with the fleet and a daemon had no profile while the platform was down. All decisions are in CatalogueNode as plain code.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,7 +1,8 @@
 //! Controllers of the state that requests share.
 
 pub mod call_ledgers;
-pub mod catalogue_report;
 pub mod gate_controller;
+pub mod gossip_controller;
+pub mod platform_reader;
 pub mod profile_controller;
 pub mod upstream_controller;
--- /dev/null
+++ b/src/controller/gossip_controller.rs
@@ -0,0 +1,96 @@
+//! Exchange of the catalogue with other daemons.
+
+use crate::{
+    common::*,
+    decision::{
+        catalogue::{
+            catalogue_message::{CatalogueAction, IndexDelta, IndexDigest},
+            catalogue_node::{CatalogueNode, NodeSettings},
+            catalogue_report::ValueSource,
+            piece_assembler::ValuePiece,
+            version_stamp::VersionStamp,
+        },
+        clock::Clock,
+    },
+};
+use bytes::Bytes;
+
+/// Catalogue of a daemon, shared by its controllers.
+pub type SharedNode = Arc<Mutex<CatalogueNode>>;
+
+/// Passes messages between the catalogue and the control listener and client.
+pub struct GossipController {
+    node: SharedNode,
+    clock: Arc<dyn Clock>,
+}
+
+impl GossipController {
+    /// Creates the controller with the catalogue of a fresh daemon.
+    pub fn new(settings: NodeSettings, clock: Arc<dyn Clock>) -> Self {
+        let node = CatalogueNode::new(settings, clock.now());
+        Self {
+            node: Arc::new(Mutex::new(node)),
+            clock,
+        }
+    }
+
+    /// Returns the catalogue.
+    pub fn node(&self) -> SharedNode {
+        Arc::clone(&self.node)
+    }
+
+    /// Asks the start peers.
+    pub fn start(&self) -> Vec<CatalogueAction> {
+        self.node.lock().start()
+    }
+
+    /// Returns what is due.
+    pub fn tick(&self) -> Vec<CatalogueAction> {
+        self.node.lock().tick(self.clock.now())
+    }
+
+    /// Answers the digest of a peer.
+    pub fn exchange(&self, digest: &IndexDigest) -> IndexDelta {
+        self.node.lock().on_exchange(digest, self.clock.now())
+    }
+
+    /// Returns a piece of a value for a peer.
+    pub fn piece(&self, key: &str, stamp: VersionStamp, offset: u32) -> Option<ValuePiece> {
+        self.node.lock().piece(key, stamp, offset)
+    }
+
+    /// Takes the answer of a peer, or `None` when it gave none.
+    pub fn finish_exchange(
+        &self,
+        peer: SocketAddr,
+        delta: Option<&IndexDelta>,
+    ) -> Vec<CatalogueAction> {
+        let mut node = self.node.lock();
+        match delta {
+            Some(delta) => node.on_delta(peer, delta, self.clock.now()),
+            None => {
+                node.on_exchange_failed(peer);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes a value of a peer, or `None` when it gave none.
+    pub fn finish_fetch(
+        &self,
+        peer: SocketAddr,
+        key: &SmolStr,
+        stamp: VersionStamp,
+        value: Option<&Bytes>,
+    ) -> Vec<CatalogueAction> {
+        let now = self.clock.now();
+        let mut node = self.node.lock();
+        match value {
+            Some(bytes) => node.on_value(key, stamp, bytes, ValueSource::Peer(peer), now),
+            None => {
+                node.on_fetch_failed(key, stamp, now);
+                Vec::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/platform_reader.rs
@@ -0,0 +1,85 @@
+//! Calls to the platform for the catalogue.
+
+use crate::{
+    common::*,
+    controller::gossip_controller::SharedNode,
+    decision::{
+        catalogue::{
+            catalogue_message::{CatalogueAction, PlatformCall},
+            version_stamp::VersionStamp,
+        },
+        clock::Clock,
+    },
+    shell::platform_client::{IndexChange, PlatformClient, PlatformError},
+};
+
+/// Longest wait of a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Carries out the calls that the catalogue decides on.
+pub struct PlatformReader {
+    client: PlatformClient,
+    node: SharedNode,
+    clock: Arc<dyn Clock>,
+}
+
+impl PlatformReader {
+    /// Creates the reader.
+    pub fn new(client: PlatformClient, node: SharedNode, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            client,
+            node,
+            clock,
+        }
+    }
+
+    /// Carries out one call and returns what follows from it.
+    pub async fn carry_out(&self, call: &PlatformCall) -> Vec<CatalogueAction> {
+        match self.read(call).await {
+            Ok(actions) => actions,
+            Err(error) => {
+                log::warn!("platform: {error}");
+                let now = self.clock.now();
+                self.node.lock().on_platform_failed(call, now);
+                Vec::new()
+            }
+        }
+    }
+
+    async fn read(&self, call: &PlatformCall) -> Result<Vec<CatalogueAction>, PlatformError> {
+        let change = match call {
+            PlatformCall::Index => self.client.index().await?,
+            PlatformCall::Watch { after, is_waiting } => {
+                let wait = if *is_waiting {
+                    WATCH_WAIT
+                } else {
+                    Duration::ZERO
+                };
+                self.client.watch(*after, wait).await?
+            }
+            PlatformCall::Value(key) => {
+                let (version, bytes) = self.client.value(key).await?;
+                let now = self.clock.now();
+                let mut node = self.node.lock();
+                return Ok(node.on_platform_value(key, version, &bytes, now));
+            }
+        };
+        let stamps = version_stamps(&change);
+        let now = self.clock.now();
+        let mut node = self.node.lock();
+        Ok(node.on_platform_index(call, change.revision, &stamps, now))
+    }
+}
+
+/// Returns the versions of an index whose digests can be read.
+pub fn version_stamps(change: &IndexChange) -> Vec<(SmolStr, VersionStamp)> {
+    let stamps = change.keys.iter().filter_map(|entry| {
+        let Ok(digest) = entry.digest.parse() else {
+            log::warn!("platform: The digest of `{}` cannot be read.", entry.key);
+            return None;
+        };
+        let version = entry.version;
+        Some((entry.key.clone(), VersionStamp { version, digest }))
+    });
+    stamps.collect()
+}
--- a/src/controller/profile_controller.rs
+++ b/src/controller/profile_controller.rs
@@ -2,12 +2,15 @@
 
 use crate::{
     common::*,
-    controller::catalogue_report::CatalogueReport,
+    controller::gossip_controller::SharedNode,
     decision::{
-        profile::service_profile::{ProfileError, ServiceProfile},
-        routing::upstream_set::InstanceInfo,
+        catalogue::{
+            catalogue_message::AppliedValue, catalogue_report::CatalogueReport,
+            catalogue_value::CatalogueValue,
+        },
+        clock::Clock,
+        profile::service_profile::ServiceProfile,
     },
-    shell::platform_client::{PlatformClient, PlatformError},
 };
 
 /// Profile that a service runs under.
@@ -19,104 +22,76 @@
     pub profile: Arc<ServiceProfile>,
 }
 
-/// A catalogue value cannot be put in force.
-#[derive(Debug, Error)]
-pub enum ApplyError {
-    /// The platform gave no usable answer.
-    #[error(transparent)]
-    Platform(#[from] PlatformError),
-    /// The profile is refused.
-    #[error(transparent)]
-    Profile(#[from] ProfileError),
-    /// The value is not valid UTF-8.
-    #[error("The value of `{0}` is not valid UTF-8.")]
-    Encoding(SmolStr),
-    /// The value is not of the published form.
-    #[error("The value of `{key}` cannot be read: {source}")]
-    Value {
-        /// Catalogue key.
-        key: SmolStr,
-        /// Error with line and key.
-        source: toml::de::Error,
-    },
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ServiceSelection {
-    profile: SmolStr,
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct InstanceList {
-    #[serde(default)]
-    instances: Vec<InstanceInfo>,
+#[derive(Debug, Default)]
+struct ProfileState {
+    versions: IndexMap<SmolStr, u64>,
+    profiles: IndexMap<SmolStr, ProfileInForce>,
+    selections: IndexMap<SmolStr, SmolStr>,
+    services: IndexMap<SmolStr, ProfileInForce>,
 }
 
 /// Holds the profiles in force, by service.
-#[derive(Debug, Default)]
 pub struct ProfileController {
-    profiles: Mutex<IndexMap<SmolStr, ProfileInForce>>,
+    state: Mutex<ProfileState>,
+    node: SharedNode,
+    clock: Arc<dyn Clock>,
 }
 
 impl ProfileController {
+    /// Creates the controller over the catalogue of a daemon.
+    pub fn new(node: SharedNode, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            state: Mutex::default(),
+            node,
+            clock,
+        }
+    }
+
     /// Returns the profile of a service.
     pub fn get(&self, service: &str) -> Option<ProfileInForce> {
-        self.profiles.lock().get(service).cloned()
+        self.state.lock().services.get(service).cloned()
     }
 
     /// Returns the state of the catalogue for operators.
     pub fn report(&self) -> CatalogueReport {
-        CatalogueReport::default()
+        self.node.lock().report(self.clock.now())
     }
 
-    /// Reads the selected profile of a service; a lower version than the one in force is ignored.
-    pub async fn refresh(
-        &self,
-        platform: &PlatformClient,
-        service: &SmolStr,
-    ) -> Result<(), ApplyError> {
-        let key = format!("services/{service}");
-        let selection: ServiceSelection = read(platform, &key).await?.1;
-        let key = format!("profiles/{}", selection.profile);
-        let (version, text) = read_text(platform, &key).await?;
-        let profile = Arc::new(text.parse::<ServiceProfile>()?);
-        let mut profiles = self.profiles.lock();
-        let is_newer = profiles.get(service).is_none_or(|current| {
-            current.profile.name != profile.name || current.version < version
-        });
-        if is_newer {
-            profiles.insert(service.clone(), ProfileInForce { version, profile });
+    /// Puts a value in force and calls `follow` with it unless a higher version already is.
+    /// `follow` runs under the lock, so that values of one key are followed in their order.
+    pub fn apply(&self, applied: &AppliedValue, follow: impl FnOnce(&AppliedValue)) {
+        let mut state = self.state.lock();
+        let version = applied.stamp.version;
+        let known = state.versions.get(&applied.key);
+        if known.is_some_and(|known| *known >= version) {
+            return;
+        }
+        state.versions.insert(applied.key.clone(), version);
+        let name = applied.key.split_once('/').map_or("", |(_, name)| name);
+        match &applied.value {
+            CatalogueValue::Profile(profile) => {
+                let profile = Arc::clone(profile);
+                let in_force = ProfileInForce { version, profile };
+                state.profiles.insert(name.into(), in_force);
+            }
+            CatalogueValue::Selection(profile) => {
+                state.selections.insert(name.into(), profile.clone());
+            }
+            CatalogueValue::Instances(_) => {}
         }
-        Ok(())
+        state.select();
+        follow(applied);
     }
 }
 
-/// Reads the list of instances of a service.
-pub async fn read_instances(
-    platform: &PlatformClient,
-    service: &str,
-) -> Result<Vec<InstanceInfo>, ApplyError> {
-    let key = format!("instances/{service}");
-    let (_, list): (_, InstanceList) = read(platform, &key).await?;
-    Ok(list.instances)
-}
-
-async fn read<T: serde::de::DeserializeOwned>(
-    platform: &PlatformClient,
-    key: &str,
-) -> Result<(u64, T), ApplyError> {
-    let (version, text) = read_text(platform, key).await?;
-    let value = toml::from_str(&text).map_err(|source| ApplyError::Value {
-        key: key.into(),
-        source,
-    })?;
-    Ok((version, value))
-}
-
-async fn read_text(platform: &PlatformClient, key: &str) -> Result<(u64, String), ApplyError> {
-    let (version, bytes) = platform.value(key).await?;
-    let text = String::from_utf8(bytes.to_vec()).map_err(|_| ApplyError::Encoding(key.into()))?;
-    Ok((version, text))
+impl ProfileState {
+    /// Recomputes the profile of each service. A service keeps its profile until the value of a
+    /// newly selected one is there.
+    fn select(&mut self) {
+        for (service, profile) in &self.selections {
+            if let Some(in_force) = self.profiles.get(profile) {
+                self.services.insert(service.clone(), in_force.clone());
+            }
+        }
+    }
 }
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -1,6 +1,7 @@
 //! Decisions as plain code: events and the time in, results out, without I/O or threads.
 
 pub mod admission;
+pub mod catalogue;
 pub mod clock;
 pub mod profile;
 pub mod request_context;
--- /dev/null
+++ b/src/decision/catalogue/catalogue_node.rs
@@ -0,0 +1,463 @@
+//! Catalogue of one daemon: events and the time in, actions out.
+
+pub use super::catalogue_message::*;
+use super::{
+    catalogue_index::{CatalogueIndex, IndexHashes, MergeResult},
+    catalogue_report::{CatalogueReport, ValueSource},
+    catalogue_roles::CatalogueRoles,
+    catalogue_value::CatalogueValue,
+    fetch_plan::FetchPlan,
+    gossip_round::{GossipRound, ROUND_INTERVAL},
+    peer_view::{PeerInfo, PeerView},
+    piece_assembler::{ValuePiece, cut_piece},
+    platform_schedule::{PlatformSchedule, ReaderNeeds},
+    value_book::ValueBook,
+    version_stamp::{ContentDigest, IndexRecord, VersionStamp},
+};
+use crate::common::*;
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// Time between two calls of [`CatalogueNode::tick`].
+pub const CATALOGUE_TICK: Duration = Duration::from_millis(100);
+
+/// Rounds in which a changed record is pushed.
+const PUSH_ROUNDS: u8 = 3;
+
+/// Records in one push; a larger change spreads by comparison of the hashes.
+const MAX_PUSH_RECORDS: usize = 64;
+
+/// Longest wait of a fresh daemon for the start peers once one of them has answered.
+const START_WAIT: Duration = Duration::from_secs(2);
+
+/// Time without any peer after which a daemon reads for itself.
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// Identity of a catalogue node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The daemon itself.
+    pub own: PeerInfo,
+    /// Own service and called services.
+    pub services: Vec<SmolStr>,
+    /// Control addresses of daemons to ask at start.
+    pub seeds: Vec<SocketAddr>,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// Catalogue of one daemon.
+#[derive(Debug)]
+pub struct CatalogueNode {
+    settings: NodeSettings,
+    rng: Pcg64Mcg,
+    index: CatalogueIndex,
+    book: ValueBook,
+    view: PeerView,
+    largest_fleet: usize,
+    roles: CatalogueRoles,
+    is_view_changed: bool,
+    role_keys: usize,
+    is_plan_due: bool,
+    gossip: GossipRound,
+    fetches: FetchPlan,
+    platform: PlatformSchedule,
+    hot: IndexMap<SmolStr, u8>,
+    heard: IndexMap<SocketAddr, (Instant, u64)>,
+    last_heard: Instant,
+    next_round: Instant,
+    started_at: Instant,
+    asked: Vec<SocketAddr>,
+    is_gathered: bool,
+}
+
+impl CatalogueNode {
+    /// Creates the catalogue of a fresh daemon.
+    pub fn new(settings: NodeSettings, now: Instant) -> Self {
+        let gossip = GossipRound::new(settings.own.clone(), settings.seeds.clone());
+        let mut node = Self {
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            index: CatalogueIndex::new(),
+            book: ValueBook::default(),
+            view: PeerView::default(),
+            largest_fleet: 0,
+            roles: CatalogueRoles::new(settings.own.clone()),
+            is_view_changed: false,
+            role_keys: 0,
+            is_plan_due: false,
+            platform: PlatformSchedule::new(!gossip.has_seeds(), now),
+            gossip,
+            fetches: FetchPlan::default(),
+            hot: IndexMap::new(),
+            heard: IndexMap::new(),
+            last_heard: now,
+            next_round: now,
+            started_at: now,
+            asked: Vec::new(),
+            is_gathered: false,
+            settings,
+        };
+        node.update_needed();
+        node
+    }
+
+    /// Asks the start peers.
+    pub fn start(&mut self) -> Vec<CatalogueAction> {
+        self.asked = self.gossip.start_peers(&mut self.rng);
+        let digest = self.digest(Vec::new(), false);
+        let exchange = |peer: &SocketAddr| CatalogueAction::Exchange(*peer, digest.clone());
+        self.asked.iter().map(exchange).collect()
+    }
+
+    /// Returns whether the highest versions within reach were gathered after the start.
+    pub fn is_gathered(&self) -> bool {
+        self.is_gathered
+    }
+
+    /// Returns the versions known.
+    pub fn index(&self) -> &CatalogueIndex {
+        &self.index
+    }
+
+    /// Returns the stamp in force of a key.
+    pub fn in_force(&self, key: &str) -> Option<VersionStamp> {
+        self.book.in_force(key)
+    }
+
+    /// Advances the time and returns what is due.
+    pub fn tick(&mut self, now: Instant) -> Vec<CatalogueAction> {
+        let mut actions = Vec::new();
+        self.roles.expire(now);
+        if now >= self.next_round {
+            self.next_round = now + ROUND_INTERVAL;
+            self.update_roles();
+            self.heard.retain(|_, (at, _)| now < *at + SILENCE);
+            let peers = self.gossip.next_peers(&self.view, &mut self.rng);
+            actions.extend(self.exchange_with(&peers));
+        }
+        actions.extend(self.push());
+        actions.extend(self.finish_gathering(now));
+        if self.is_plan_due {
+            self.plan_fetches(now, None);
+        }
+        for fetch in self.fetches.start_due(now) {
+            let (key, stamp) = (fetch.key, fetch.stamp);
+            let (view, rng) = (&self.view, &mut self.rng);
+            match self
+                .roles
+                .fetch_peer(view, &key, fetch.teller, fetch.tries, rng)
+            {
+                Some(peer) => actions.push(CatalogueAction::Fetch(peer, key, stamp)),
+                None => self.fetches.fail(&key, stamp.version, now),
+            }
+        }
+        actions.extend(self.platform_calls(now));
+        actions
+    }
+
+    /// Answers the digest of a peer.
+    pub fn on_exchange(&mut self, digest: &IndexDigest, now: Instant) -> IndexDelta {
+        self.note_peer(digest.sender, digest.hashes.whole, now);
+        self.merge(&digest.records, Some(digest.sender), now);
+        let whole = self.index.whole_hash();
+        if whole == digest.hashes.whole {
+            return IndexDelta {
+                hashes: IndexHashes {
+                    whole,
+                    buckets: Vec::new(),
+                },
+                records: Vec::new(),
+            };
+        }
+        if digest.hashes.buckets.is_empty() {
+            return IndexDelta {
+                hashes: self.index.hashes(),
+                records: Vec::new(),
+            };
+        }
+        IndexDelta {
+            hashes: IndexHashes {
+                whole,
+                buckets: Vec::new(),
+            },
+            records: self.index.differing(&digest.hashes.buckets),
+        }
+    }
+
+    /// Takes the answer of a peer.
+    pub fn on_delta(
+        &mut self,
+        peer: SocketAddr,
+        delta: &IndexDelta,
+        now: Instant,
+    ) -> Vec<CatalogueAction> {
+        self.note_peer(peer, delta.hashes.whole, now);
+        self.merge(&delta.records, Some(peer), now);
+        let is_equal = delta.hashes.whole == self.index.whole_hash();
+        if !is_equal && !delta.hashes.buckets.is_empty() {
+            let records = self.index.differing(&delta.hashes.buckets);
+            let digest = self.digest(records, true);
+            return vec![CatalogueAction::Exchange(peer, digest)];
+        }
+        self.asked.retain(|asked| *asked != peer);
+        self.finish_gathering(now)
+    }
+
+    /// Records that a peer did not answer.
+    pub fn on_exchange_failed(&mut self, peer: SocketAddr) {
+        self.asked.retain(|asked| *asked != peer);
+        self.heard.swap_remove(&peer);
+    }
+
+    /// Returns a piece of a value for a peer.
+    pub fn piece(&self, key: &str, stamp: VersionStamp, offset: u32) -> Option<ValuePiece> {
+        cut_piece(stamp, self.book.get(key, stamp)?, offset)
+    }
+
+    /// Takes a value whose digest was checked.
+    pub fn on_value(
+        &mut self,
+        key: &SmolStr,
+        stamp: VersionStamp,
+        bytes: &Bytes,
+        source: ValueSource,
+        now: Instant,
+    ) -> Vec<CatalogueAction> {
+        self.fetches.remove(key, stamp.version);
+        if self.index.merge_latest(key, stamp) == MergeResult::Newer {
+            self.hot.insert(key.clone(), PUSH_ROUNDS);
+        }
+        let is_current = self.index.is_current(key, stamp);
+        if !is_current || !self.book.insert(key, stamp, bytes, source, &self.roles) {
+            return Vec::new();
+        }
+        if let Err(error) = CatalogueValue::parse(key, bytes) {
+            let (version, reason) = (stamp.version, error.to_string());
+            self.book.refuse(key, version, reason.clone());
+            let key = key.clone();
+            return vec![CatalogueAction::Refuse {
+                key,
+                version,
+                reason,
+            }];
+        }
+        if self.index.merge_valid(key, stamp) == MergeResult::Newer {
+            self.hot.insert(key.clone(), PUSH_ROUNDS);
+        }
+        self.drop_values();
+        self.apply(key, now)
+    }
+
+    /// Records that a peer could not deliver a value.
+    pub fn on_fetch_failed(&mut self, key: &str, stamp: VersionStamp, now: Instant) {
+        self.fetches.fail(key, stamp.version, now);
+    }
+
+    /// Takes an index or a watch answer of the platform.
+    pub fn on_platform_index(
+        &mut self,
+        call: &PlatformCall,
+        revision: u64,
+        stamps: &[(SmolStr, VersionStamp)],
+        now: Instant,
+    ) -> Vec<CatalogueAction> {
+        self.platform.on_index(call, revision, now);
+        for (key, stamp) in stamps {
+            if self.index.merge_latest(key, *stamp) == MergeResult::Newer {
+                self.hot.insert(key.clone(), PUSH_ROUNDS);
+                if self.roles.is_reader {
+                    self.roles.announce(key, now);
+                }
+                self.is_plan_due = true;
+            }
+        }
+        self.finish_gathering(now)
+    }
+
+    /// Takes a value of the platform.
+    pub fn on_platform_value(
+        &mut self,
+        key: &SmolStr,
+        version: u64,
+        bytes: &Bytes,
+        now: Instant,
+    ) -> Vec<CatalogueAction> {
+        self.platform.on_value(key, now);
+        let stamp = VersionStamp {
+            version,
+            digest: ContentDigest::of(bytes),
+        };
+        self.on_value(key, stamp, bytes, ValueSource::Platform, now)
+    }
+
+    /// Records that a call to the platform failed.
+    pub fn on_platform_failed(&mut self, call: &PlatformCall, now: Instant) {
+        self.platform.on_failure(call, now, &mut self.rng);
+    }
+
+    /// Returns the state for operators.
+    pub fn report(&self, now: Instant) -> CatalogueReport {
+        let whole = self.index.whole_hash();
+        let agreeing = self.heard.values().filter(|(_, hash)| *hash == whole);
+        CatalogueReport {
+            keys: self.book.report(&self.index, &self.roles, now),
+            index_keys: self.index.len(),
+            value_bytes: self.book.bytes(),
+            is_reader: self.roles.is_reader,
+            peers_heard: self.heard.len(),
+            peers_in_agreement: agreeing.count(),
+            conflicts: self.index.conflicts(),
+        }
+    }
+
+    fn digest(&self, records: Vec<IndexRecord>, with_buckets: bool) -> IndexDigest {
+        let mut hashes = self.index.hashes();
+        if !with_buckets {
+            hashes.buckets.clear();
+        }
+        IndexDigest {
+            sender: self.settings.own.control,
+            hashes,
+            records,
+        }
+    }
+
+    fn exchange_with(&self, peers: &[SocketAddr]) -> Vec<CatalogueAction> {
+        let hot = self.hot.keys().take(MAX_PUSH_RECORDS);
+        let records = hot.filter_map(|key| self.index.get(key)).collect();
+        let digest = self.digest(records, false);
+        peers
+            .iter()
+            .map(|peer| CatalogueAction::Exchange(*peer, digest.clone()))
+            .collect()
+    }
+
+    fn push(&mut self) -> Vec<CatalogueAction> {
+        if self.hot.is_empty() {
+            return Vec::new();
+        }
+        let mut peers = self.gossip.push_peers(&self.view, &mut self.rng);
+        peers.extend(self.gossip.link_peer(&self.view, &mut self.rng));
+        let actions = self.exchange_with(&peers);
+        for rounds in self.hot.values_mut().take(MAX_PUSH_RECORDS) {
+            *rounds -= 1;
+        }
+        self.hot.retain(|_, rounds| *rounds > 0);
+        actions
+    }
+
+    fn note_peer(&mut self, peer: SocketAddr, whole: u64, now: Instant) {
+        self.last_heard = now;
+        if self.heard.len() < super::peer_view::MAX_PEERS {
+            self.heard.insert(peer, (now, whole));
+        }
+    }
+
+    fn merge(&mut self, records: &[IndexRecord], teller: Option<SocketAddr>, now: Instant) {
+        let mut has_changed = false;
+        for record in records {
+            if self.index.merge(record) == MergeResult::Newer {
+                self.hot.insert(record.key.clone(), PUSH_ROUNDS);
+                has_changed = true;
+            }
+        }
+        if has_changed {
+            self.plan_fetches(now, teller);
+        }
+    }
+
+    fn update_needed(&mut self) {
+        let needed = self.book.needed_keys(&self.settings.services);
+        self.roles.set_needed(needed);
+        self.is_plan_due = true;
+    }
+
+    fn update_roles(&mut self) {
+        if self.is_view_changed || self.role_keys != self.index.len() {
+            self.is_view_changed = false;
+            self.role_keys = self.index.len();
+            self.roles.update(&self.view, &self.index);
+            self.drop_values();
+            self.is_plan_due = true;
+        }
+    }
+
+    fn drop_values(&mut self) {
+        let (index, roles) = (&self.index, &self.roles);
+        self.book.prune(index, roles);
+        self.fetches
+            .retain(|key, stamp| index.is_current(key, stamp) && roles.wants(key));
+    }
+
+    fn plan_fetches(&mut self, now: Instant, teller: Option<SocketAddr>) {
+        self.is_plan_due = false;
+        for record in self.index.records() {
+            if !self.roles.wants(&record.key) {
+                continue;
+            }
+            let older = record.valid.filter(|valid| *valid != record.latest);
+            for stamp in std::iter::once(record.latest).chain(older) {
+                if self.book.get(&record.key, stamp).is_none() {
+                    self.fetches.add(&record.key, stamp, teller, now);
+                }
+            }
+        }
+    }
+
+    fn finish_gathering(&mut self, now: Instant) -> Vec<CatalogueAction> {
+        let is_waiting = !self.asked.is_empty() && now < self.started_at + START_WAIT;
+        if self.is_gathered || self.index.is_empty() || is_waiting {
+            return Vec::new();
+        }
+        self.is_gathered = true;
+        let keys: Vec<SmolStr> = self.index.keys().cloned().collect();
+        keys.iter().flat_map(|key| self.apply(key, now)).collect()
+    }
+
+    fn apply(&mut self, key: &SmolStr, now: Instant) -> Vec<CatalogueAction> {
+        if !self.is_gathered {
+            return Vec::new();
+        }
+        let Some(applied) = self.book.apply(key, &self.index, &self.roles, now) else {
+            return Vec::new();
+        };
+        let mut actions = vec![CatalogueAction::Apply(applied.clone())];
+        match applied.value {
+            CatalogueValue::Instances(instances) => {
+                self.view.set_list(key, &instances);
+                self.largest_fleet = self.largest_fleet.max(self.view.len());
+                self.is_view_changed = true;
+            }
+            CatalogueValue::Selection(profile) => {
+                self.update_needed();
+                actions.extend(self.apply(&format!("profiles/{profile}").into(), now));
+            }
+            CatalogueValue::Profile(_) => {}
+        }
+        actions
+    }
+
+    fn platform_calls(&mut self, now: Instant) -> Vec<CatalogueAction> {
+        let has_seeds = self.gossip.has_seeds();
+        let is_complete = self.roles.needed().all(|key| self.in_force(key).is_some());
+        let is_reader = self.roles.is_reader || (!has_seeds && !is_complete);
+        let open = |key: &&SmolStr| is_reader && !self.index.is_settled(key);
+        let without_peer = self.fetches.without_peer();
+        let needs = ReaderNeeds {
+            is_reader,
+            is_empty: self.index.is_empty(),
+            is_silent: now >= self.last_heard + SILENCE,
+            fleet: self.largest_fleet,
+            missing: self
+                .fetches
+                .keys()
+                .filter(open)
+                .chain(without_peer)
+                .cloned()
+                .collect(),
+        };
+        let calls = self.platform.next_calls(&needs, now, &mut self.rng);
+        calls.into_iter().map(CatalogueAction::Platform).collect()
+    }
+}
--- /dev/null
+++ b/src/decision/catalogue/value_store.rs
@@ -0,0 +1,56 @@
+//! Values that a daemon keeps.
+
+use super::version_stamp::VersionStamp;
+use crate::common::*;
+use bytes::Bytes;
+
+/// Most bytes of all values.
+pub const MAX_STORE_BYTES: usize = 16 << 20;
+
+/// Values by key and version, the valid and the latest one of each key at most.
+#[derive(Debug, Default)]
+pub struct ValueStore {
+    values: IndexMap<SmolStr, Vec<(VersionStamp, Bytes)>>,
+    bytes: usize,
+}
+
+impl ValueStore {
+    /// Returns a value.
+    pub fn get(&self, key: &str, stamp: VersionStamp) -> Option<&Bytes> {
+        let versions = self.values.get(key)?;
+        versions
+            .iter()
+            .find(|(known, _)| *known == stamp)
+            .map(|(_, bytes)| bytes)
+    }
+
+    /// Stores a value; returns false when the store is full.
+    pub fn insert(&mut self, key: &str, stamp: VersionStamp, bytes: Bytes) -> bool {
+        if self.get(key, stamp).is_some() {
+            return true;
+        }
+        if self.bytes + bytes.len() > MAX_STORE_BYTES {
+            return false;
+        }
+        self.bytes += bytes.len();
+        let versions = self.values.entry(key.into()).or_default();
+        versions.push((stamp, bytes));
+        true
+    }
+
+    /// Drops the versions for which `keep` returns false.
+    pub fn retain(&mut self, mut keep: impl FnMut(&str, VersionStamp) -> bool) {
+        let mut bytes = 0;
+        self.values.retain(|key, versions| {
+            versions.retain(|(stamp, _)| keep(key, *stamp));
+            bytes += versions.iter().map(|(_, value)| value.len()).sum::<usize>();
+            !versions.is_empty()
+        });
+        self.bytes = bytes;
+    }
+
+    /// Returns the bytes of all values.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -1,6 +1,10 @@
 //! Sockets, settings, logs, metrics, traces and signals.
 
 pub mod admin_server;
+pub mod control;
+pub mod control_client;
+pub mod control_driver;
+pub mod control_server;
 pub mod daemon;
 pub mod header_names;
 pub mod http_client;
--- /dev/null
+++ b/src/shell/control.rs
@@ -0,0 +1,102 @@
+//! Control messages between daemons.
+
+use crate::{
+    common::*,
+    decision::catalogue::{
+        catalogue_message::{IndexDelta, IndexDigest},
+        piece_assembler::ValuePiece,
+        version_stamp::VersionStamp,
+    },
+};
+use tarpc::{serde_transport::Transport, tokio_serde::formats::Bincode};
+use tokio::net::TcpStream;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Version of the control messages.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// Largest control message, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// Header of each request.
+#[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
+pub struct ControlHeader {
+    /// Version of the control messages.
+    pub protocol: u16,
+    /// Cluster of the sender.
+    pub cluster: SmolStr,
+}
+
+/// A control request is refused or fails.
+#[derive(Clone, Debug, Error, Deserialize, Serialize, Eq, PartialEq)]
+pub enum ControlError {
+    /// The sender speaks another version.
+    #[error("The control protocol {0} is not supported.")]
+    Protocol(u16),
+    /// The sender belongs to another cluster.
+    #[error("The sender belongs to the cluster `{0}`.")]
+    Cluster(SmolStr),
+    /// The value is not held here.
+    #[error("The value is not held by this daemon.")]
+    NotHeld,
+    /// No answer came in time, or it cannot be read.
+    #[error("The peer gave no answer.")]
+    NoAnswer,
+    /// A value arrived damaged.
+    #[error("The peer sent a damaged value.")]
+    Damaged,
+}
+
+impl ControlHeader {
+    /// Creates the header for messages to the own cluster.
+    pub fn new(cluster: SmolStr) -> Self {
+        Self {
+            protocol: PROTOCOL_VERSION,
+            cluster,
+        }
+    }
+
+    /// Checks the header of a request against the own one.
+    pub fn check(&self, own: &Self) -> Result<(), ControlError> {
+        if self.protocol != own.protocol {
+            return Err(ControlError::Protocol(self.protocol));
+        }
+        if self.cluster != own.cluster {
+            return Err(ControlError::Cluster(self.cluster.clone()));
+        }
+        Ok(())
+    }
+}
+
+/// Requests that a daemon answers to other daemons.
+#[tarpc::service]
+pub trait ControlService {
+    /// Compares the catalogue indexes.
+    async fn exchange(
+        header: ControlHeader,
+        digest: IndexDigest,
+    ) -> Result<IndexDelta, ControlError>;
+
+    /// Returns the piece of a value that starts at an offset.
+    async fn pieces(
+        header: ControlHeader,
+        key: SmolStr,
+        stamp: VersionStamp,
+        offset: u32,
+    ) -> Result<ValuePiece, ControlError>;
+}
+
+/// Creates the transport of a connection with the bound on messages.
+pub(super) fn transport<Item, SinkItem>(
+    stream: TcpStream,
+) -> Transport<TcpStream, Item, SinkItem, Bincode<Item, SinkItem>>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let _ = stream.set_nodelay(true);
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_framed(stream);
+    tarpc::serde_transport::new(framed, Bincode::default())
+}
--- /dev/null
+++ b/src/shell/control_driver.rs
@@ -0,0 +1,94 @@
+//! Carries out the actions of the catalogue.
+
+use super::control_client::ControlClient;
+use crate::{
+    common::*,
+    controller::{gossip_controller::GossipController, platform_reader::PlatformReader},
+    decision::catalogue::{
+        catalogue_message::{AppliedValue, CatalogueAction},
+        catalogue_node::CATALOGUE_TICK,
+    },
+};
+use tokio::time::MissedTickBehavior;
+
+/// Called with each value that comes into force.
+pub type ApplyValue = Box<dyn Fn(&AppliedValue) + Send + Sync>;
+
+/// Connects the catalogue with the control client and the platform.
+pub struct ControlDriver {
+    /// Catalogue of the daemon.
+    pub gossip: Arc<GossipController>,
+    /// Calls to the platform.
+    pub platform: PlatformReader,
+    /// Client of other daemons.
+    pub client: ControlClient,
+    /// Puts values in force.
+    pub apply: ApplyValue,
+}
+
+impl ControlDriver {
+    /// Runs until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        self.dispatch(self.gossip.start());
+        let mut interval = tokio::time::interval(CATALOGUE_TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.dispatch(self.gossip.tick());
+        }
+    }
+
+    fn dispatch(self: &Arc<Self>, actions: Vec<CatalogueAction>) {
+        for action in actions {
+            match action {
+                CatalogueAction::Apply(applied) => {
+                    log::info!(
+                        "gossip: Version {} of `{}` is in force.",
+                        applied.stamp.version,
+                        applied.key
+                    );
+                    (self.apply)(&applied);
+                }
+                CatalogueAction::Refuse {
+                    key,
+                    version,
+                    reason,
+                } => log::warn!("gossip: Version {version} of `{key}` is refused: {reason}"),
+                remote => {
+                    let driver = Arc::clone(self);
+                    tokio::spawn(async move {
+                        let next = driver.carry_out(remote).await;
+                        driver.dispatch(next);
+                    });
+                }
+            }
+        }
+    }
+
+    async fn carry_out(&self, action: CatalogueAction) -> Vec<CatalogueAction> {
+        match action {
+            CatalogueAction::Exchange(peer, digest) => {
+                let delta = self.client.exchange(peer, digest).await;
+                if let Err(error) = &delta {
+                    log::debug!("gossip: No exchange with {peer}: {error}");
+                }
+                self.gossip.finish_exchange(peer, delta.ok().as_ref())
+            }
+            CatalogueAction::Fetch(peer, key, stamp) => {
+                let value = self.client.fetch(peer, &key, stamp).await;
+                if let Err(error) = &value {
+                    log::debug!("gossip: `{key}` was not fetched from {peer}: {error}");
+                }
+                let value = value.ok();
+                self.gossip.finish_fetch(peer, &key, stamp, value.as_ref())
+            }
+            CatalogueAction::Platform(call) => {
+                let mut actions = self.platform.carry_out(&call).await;
+                // The answer may have made values due that a fresh daemon waits for.
+                actions.extend(self.gossip.tick());
+                actions
+            }
+            CatalogueAction::Apply(_) | CatalogueAction::Refuse { .. } => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/shell/control_server.rs
@@ -0,0 +1,87 @@
+//! Listener for control messages of other daemons.
+
+use super::control::{self, ControlError, ControlHeader, ControlService};
+use crate::{
+    common::*,
+    controller::gossip_controller::GossipController,
+    decision::catalogue::{
+        catalogue_message::{IndexDelta, IndexDigest},
+        piece_assembler::ValuePiece,
+        version_stamp::VersionStamp,
+    },
+};
+use futures_util::StreamExt;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::{net::TcpListener, sync::Semaphore, task::JoinSet};
+
+/// Most connections at a time.
+const MAX_CONNECTIONS: usize = 256;
+
+/// Longest life of a connection; a client needs it for one exchange or one value.
+const CONNECTION_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Pause after a failed accept, such as one without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+#[derive(Clone)]
+struct ControlServer {
+    header: ControlHeader,
+    gossip: Arc<GossipController>,
+}
+
+impl ControlService for ControlServer {
+    async fn exchange(
+        self,
+        _: Context,
+        header: ControlHeader,
+        digest: IndexDigest,
+    ) -> Result<IndexDelta, ControlError> {
+        header.check(&self.header)?;
+        Ok(self.gossip.exchange(&digest))
+    }
+
+    async fn pieces(
+        self,
+        _: Context,
+        header: ControlHeader,
+        key: SmolStr,
+        stamp: VersionStamp,
+        offset: u32,
+    ) -> Result<ValuePiece, ControlError> {
+        header.check(&self.header)?;
+        self.gossip
+            .piece(&key, stamp, offset)
+            .ok_or(ControlError::NotHeld)
+    }
+}
+
+/// Serves the control listener until the task is dropped.
+pub async fn serve(listener: TcpListener, header: ControlHeader, gossip: Arc<GossipController>) {
+    let server = ControlServer { header, gossip };
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("control: Cannot accept a connection: {error}.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let channel = BaseChannel::with_defaults(control::transport(stream));
+        let requests = channel.execute(server.clone().serve());
+        connections.spawn(async move {
+            let answers = requests.for_each(|answer| answer);
+            let _ = tokio::time::timeout(CONNECTION_LIFETIME, answers).await;
+            drop(permit);
+        });
+    }
+}
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -3,12 +3,15 @@
 use crate::{
     common::*,
     controller::{
-        call_ledgers::CallLedgers,
-        gate_controller::GateController,
-        profile_controller::{self, ApplyError, ProfileController},
-        upstream_controller::UpstreamController,
+        call_ledgers::CallLedgers, gate_controller::GateController,
+        gossip_controller::GossipController, platform_reader::PlatformReader,
+        profile_controller::ProfileController, upstream_controller::UpstreamController,
     },
     decision::{
+        catalogue::{
+            catalogue_message::AppliedValue, catalogue_node::NodeSettings,
+            catalogue_value::CatalogueValue, peer_view::PeerInfo,
+        },
         clock::{Clock, SystemClock},
         profile::service_profile::AdmissionLimits,
     },
@@ -18,8 +21,9 @@
     },
     settings::DaemonSettings,
     shell::{
-        admin_server, http_client::HttpClient, http_server, platform_client::PlatformClient,
-        span_recorder::SpanRecorder,
+        admin_server, control::ControlHeader, control_client::ControlClient,
+        control_driver::ControlDriver, control_server, http_client::HttpClient, http_server,
+        platform_client::PlatformClient, span_recorder::SpanRecorder,
     },
 };
 use std::{io, panic::RefUnwindSafe};
@@ -28,12 +32,6 @@
 /// Interval of decisions that depend on the time alone.
 const TICK: Duration = Duration::from_millis(5);
 
-/// Longest wait for a change on the platform.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-
-/// Pause after a failed call to the platform.
-const PLATFORM_BACKOFF: Duration = Duration::from_millis(500);
-
 /// State that all requests of a daemon share.
 pub struct DaemonState {
     /// Settings read at start.
@@ -42,6 +40,8 @@
     pub clock: Arc<dyn Clock>,
     /// Profiles in force.
     pub profiles: ProfileController,
+    /// Catalogue exchange with other daemons.
+    pub gossip: Arc<GossipController>,
     /// Gate of the own backend server.
     pub gate: Arc<GateController>,
     /// Ledgers of the calls in flight.
@@ -85,6 +85,7 @@
             }
             None => SpanRecorder::disabled(),
         };
+        let gossip = GossipController::new(node_settings(&settings), Arc::clone(&clock));
         Ok(Self {
             gate: Arc::new(GateController::new(
                 AdmissionLimits::default(),
@@ -95,7 +96,8 @@
                 &settings.calls,
                 rand::random(),
             ),
-            profiles: ProfileController::default(),
+            profiles: ProfileController::new(gossip.node(), Arc::clone(&clock)),
+            gossip: Arc::new(gossip),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
             spans,
@@ -104,18 +106,52 @@
         })
     }
 
-    async fn refresh(&self, platform: &PlatformClient) -> Result<(), ApplyError> {
+    /// Follows a value that came into force.
+    fn follow(&self, applied: &AppliedValue) {
+        if let CatalogueValue::Instances(instances) = &applied.value
+            && let Some(service) = applied.key.strip_prefix("instances/")
+        {
+            self.upstreams.update(service, instances, self.clock.now());
+        }
+    }
+
+    /// Puts a value in force.
+    fn apply(&self, applied: &AppliedValue) {
         let own = &self.settings.service;
-        self.profiles.refresh(platform, own).await?;
-        if let Some(in_force) = self.profiles.get(own) {
+        let before = self.profiles.get(own);
+        self.profiles.apply(applied, |applied| self.follow(applied));
+        let Some(in_force) = self.profiles.get(own) else {
+            return;
+        };
+        if before.is_none_or(|before| !Arc::ptr_eq(&before.profile, &in_force.profile)) {
             self.gate.set_limits(in_force.profile.admission.clone());
         }
-        for service in &self.settings.calls {
-            self.profiles.refresh(platform, service).await?;
-            let members = profile_controller::read_instances(platform, service).await?;
-            self.upstreams.update(service, &members, self.clock.now());
-        }
-        Ok(())
+    }
+}
+
+fn node_settings(settings: &DaemonSettings) -> NodeSettings {
+    let own = std::iter::once(&settings.service);
+    NodeSettings {
+        own: PeerInfo {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            control: settings.control,
+        },
+        services: own.chain(&settings.calls).cloned().collect(),
+        seeds: settings.seed_peers.clone(),
+        seed: rand::random(),
+    }
+}
+
+fn control_driver(daemon: &Arc<DaemonState>) -> ControlDriver {
+    let platform = PlatformClient::new(daemon.settings.platform, daemon.client.clone());
+    let (node, clock) = (daemon.gossip.node(), Arc::clone(&daemon.clock));
+    let applying = Arc::clone(daemon);
+    ControlDriver {
+        gossip: Arc::clone(&daemon.gossip),
+        platform: PlatformReader::new(platform, node, clock),
+        client: ControlClient::new(ControlHeader::new(daemon.settings.cluster.clone())),
+        apply: Box::new(move |applied| applying.apply(applied)),
     }
 }
 
@@ -127,8 +163,14 @@
     let peer = listen(settings.peer).await?;
     let outbound = listen(settings.outbound).await?;
     let admin = listen(settings.admin).await?;
+    let control = listen(settings.control).await?;
     let mut background = JoinSet::new();
-    background.spawn(follow_platform(Arc::clone(&daemon)));
+    background.spawn(control_server::serve(
+        control,
+        ControlHeader::new(settings.cluster.clone()),
+        Arc::clone(&daemon.gossip),
+    ));
+    background.spawn(Arc::new(control_driver(&daemon)).run());
     background.spawn(tick(Arc::clone(&daemon)));
     log::info!(
         "daemon: Serving {} as {}.",
@@ -178,24 +220,3 @@
         daemon.gate.tick();
     }
 }
-
-async fn follow_platform(daemon: Arc<DaemonState>) {
-    let platform = PlatformClient::new(daemon.settings.platform, daemon.client.clone());
-    let mut revision = 0;
-    loop {
-        let step = async {
-            let change = platform.watch(revision, WATCH_WAIT).await?;
-            if change.revision > revision {
-                daemon.refresh(&platform).await?;
-            }
-            Ok::<_, ApplyError>(change.revision)
-        };
-        match step.await {
-            Ok(latest) => revision = revision.max(latest),
-            Err(error) => {
-                log::warn!("platform: {error}");
-                tokio::time::sleep(PLATFORM_BACKOFF).await;
-            }
-        }
-    }
-}
--- a/src/shell/platform_client.rs
+++ b/src/shell/platform_client.rs
@@ -6,8 +6,10 @@
 use http::{Request, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty, Limited};
 
-/// Largest value of the platform, in bytes.
-pub const MAX_VALUE_BYTES: usize = 1 << 20;
+pub use crate::decision::catalogue::catalogue_value::MAX_VALUE_BYTES;
+
+/// Longest time for an answer, beyond the wait of a watch.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Key of the catalogue with its version.
 #[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
@@ -38,6 +40,9 @@
     /// The key does not exist.
     #[error("The platform has no key `{0}`.")]
     NoKey(SmolStr),
+    /// The service did not answer in time.
+    #[error("The platform did not answer in time.")]
+    TimedOut,
     /// The service answered with an error status.
     #[error("The platform answered with status {0}.")]
     Status(StatusCode),
@@ -61,7 +66,7 @@
 
     /// Reads the whole index.
     pub async fn index(&self) -> Result<IndexChange, PlatformError> {
-        let (_, bytes) = self.get("/v1/index").await?;
+        let (_, bytes) = self.get("/v1/index", Duration::ZERO).await?;
         serde_json::from_slice(&bytes).map_err(|_| PlatformError::Malformed)
     }
 
@@ -69,13 +74,14 @@
     pub async fn watch(&self, revision: u64, wait: Duration) -> Result<IndexChange, PlatformError> {
         let wait_ms = wait.as_millis();
         let path = format!("/v1/watch?after={revision}&wait_ms={wait_ms}");
-        let (_, bytes) = self.get(&path).await?;
+        let (_, bytes) = self.get(&path, wait).await?;
         serde_json::from_slice(&bytes).map_err(|_| PlatformError::Malformed)
     }
 
     /// Reads a value and its version.
     pub async fn value(&self, key: &str) -> Result<(u64, Bytes), PlatformError> {
-        match self.get(&format!("/v1/values/{key}")).await {
+        let path = format!("/v1/values/{key}");
+        match self.get(&path, Duration::ZERO).await {
             Err(PlatformError::Status(StatusCode::NOT_FOUND)) => {
                 Err(PlatformError::NoKey(key.into()))
             }
@@ -83,7 +89,13 @@
         }
     }
 
-    async fn get(&self, path: &str) -> Result<(u64, Bytes), PlatformError> {
+    async fn get(&self, path: &str, wait: Duration) -> Result<(u64, Bytes), PlatformError> {
+        tokio::time::timeout(wait + CALL_TIMEOUT, self.read(path))
+            .await
+            .map_err(|_| PlatformError::TimedOut)?
+    }
+
+    async fn read(&self, path: &str) -> Result<(u64, Bytes), PlatformError> {
         let request = Request::get(format!("http://{}{path}", self.address))
             .header(HOST, self.address.to_string())
             .body(Body::new(Empty::new().map_err(|never| match never {})))
