--- a/src/shell/control.rs
+++ b/src/shell/control.rs
@@ -8,7 +8,12 @@
         version_stamp::VersionStamp,
     },
 };
-use tarpc::{serde_transport::Transport, tokio_serde::formats::Bincode};
+use bytes::BytesMut;
+use std::io;
+use tarpc::{
+    serde_transport::Transport,
+    tokio_serde::{Deserializer, Serializer, formats::Bincode},
+};
 use tokio::net::TcpStream;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -100,3 +105,16 @@
         .new_framed(stream);
     tarpc::serde_transport::new(framed, Bincode::default())
 }
+
+/// Encodes a message as the transport does.
+pub fn encode<T: Serialize>(message: &T) -> io::Result<Vec<u8>> {
+    let mut codec = std::pin::pin!(Bincode::<(), &T>::default());
+    let bytes = Serializer::serialize(codec.as_mut(), &message)?;
+    Ok(bytes.to_vec())
+}
+
+/// Decodes a message as the transport does.
+pub fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> io::Result<T> {
+    let mut codec = std::pin::pin!(Bincode::<T, ()>::default());
+    Deserializer::deserialize(codec.as_mut(), &BytesMut::from(bytes))
+}
--- a/src/standin/platform_service.rs
+++ b/src/standin/platform_service.rs
@@ -24,7 +24,7 @@
     text: String,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct PlatformState {
     revision: u64,
     values: IndexMap<SmolStr, PublishedValue>,
@@ -32,6 +32,13 @@
     is_down: bool,
 }
 
+/// Copy of the catalogue at one time.
+#[derive(Clone, Debug)]
+pub struct PlatformCopy {
+    revision: u64,
+    values: IndexMap<SmolStr, PublishedValue>,
+}
+
 /// Catalogue of the stand-in; clones share it.
 #[derive(Clone, Debug)]
 pub struct PlatformService {
@@ -72,12 +79,37 @@
         self.state.lock().is_down = is_down;
     }
 
+    /// Copies the catalogue.
+    pub fn copy(&self) -> PlatformCopy {
+        let state = self.state.lock();
+        PlatformCopy {
+            revision: state.revision,
+            values: state.values.clone(),
+        }
+    }
+
+    /// Returns to an older copy of the catalogue, as after a restore from a backup.
+    pub fn restore(&self, copy: PlatformCopy) {
+        let mut state = self.state.lock();
+        state.revision = copy.revision;
+        state.values = copy.values;
+        self.revision.send_replace(state.revision);
+    }
+
+    /// Returns a value with its version.
+    pub fn read(&self, key: &str) -> Option<(u64, String)> {
+        let state = self.state.lock();
+        let value = state.values.get(key)?;
+        Some((value.version, value.text.clone()))
+    }
+
     /// Returns the calls answered so far, waiting watches included.
     pub fn reads(&self) -> u64 {
         self.state.lock().reads
     }
 
-    fn change_since(&self, revision: u64) -> IndexChange {
+    /// Returns the keys that changed after a revision.
+    pub fn change_since(&self, revision: u64) -> IndexChange {
         let state = self.state.lock();
         let keys = state
             .values
@@ -100,18 +132,20 @@
         let wait = Duration::from_millis(query_number(query, "wait_ms"));
         let mut receiver = self.revision.subscribe();
         let _ = tokio::time::timeout(wait, receiver.wait_for(|latest| *latest > after)).await;
+        if self.state.lock().is_down {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
         json(&self.change_since(after))
     }
 
     fn value(&self, key: &str) -> Response<Body> {
-        let state = self.state.lock();
-        let Some(value) = state.values.get(key) else {
+        let Some((version, text)) = self.read(key) else {
             return status(StatusCode::NOT_FOUND);
         };
-        let mut response = Response::new(full(value.text.clone()));
+        let mut response = Response::new(full(text));
         response
             .headers_mut()
-            .insert("x-version", HeaderValue::from(value.version));
+            .insert("x-version", HeaderValue::from(version));
         response
     }
 
--- /dev/null
+++ b/tests/control_listener.rs
@@ -0,0 +1,162 @@
+//! Control listener and client over TCP, and a daemon that nothing can be reached from.
+
+use gotham::helpers::http::Body;
+use http::Request;
+use skylarkstream::{
+    controller::gossip_controller::GossipController,
+    decision::{
+        catalogue::{
+            catalogue_message::IndexDigest,
+            catalogue_node::NodeSettings,
+            catalogue_report::ValueSource,
+            peer_view::PeerInfo,
+            version_stamp::{ContentDigest, VersionStamp},
+        },
+        clock::{Clock, SystemClock},
+    },
+    settings::DaemonSettings,
+    shell::{
+        control::{ControlError, ControlHeader, MAX_MESSAGE_BYTES},
+        control_client::ControlClient,
+        control_server, daemon, header_names,
+        http_client::HttpClient,
+    },
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a free port")
+}
+
+async fn free_address() -> SocketAddr {
+    listener().await.local_addr().expect("a bound address")
+}
+
+/// Starts a listener whose daemon holds `value` under `services/stand-status`.
+async fn serve(value: &'static [u8]) -> (SocketAddr, VersionStamp) {
+    let listener = listener().await;
+    let address = listener.local_addr().expect("a bound address");
+    let settings = NodeSettings {
+        own: PeerInfo {
+            instance: "stand-status-1".into(),
+            data_centre: "dc-1".into(),
+            control: address,
+        },
+        services: vec!["stand-status".into()],
+        seeds: Vec::new(),
+        seed: 1,
+    };
+    let gossip = GossipController::new(settings, Arc::new(SystemClock));
+    let stamp = VersionStamp {
+        version: 3,
+        digest: ContentDigest::of(value),
+    };
+    gossip.node().lock().on_value(
+        &"services/stand-status".into(),
+        stamp,
+        &value.into(),
+        ValueSource::Platform,
+        SystemClock.now(),
+    );
+    let header = ControlHeader::new("loopback".into());
+    tokio::spawn(control_server::serve(listener, header, Arc::new(gossip)));
+    (address, stamp)
+}
+
+fn client(protocol: u16, cluster: &str) -> ControlClient {
+    ControlClient::new(ControlHeader {
+        protocol,
+        cluster: cluster.into(),
+    })
+}
+
+fn digest() -> IndexDigest {
+    IndexDigest {
+        sender: ([127, 0, 0, 1], 9).into(),
+        hashes: Default::default(),
+        records: Vec::new(),
+    }
+}
+
+/// Guards against daemons of another cluster or version that exchange with this one.
+#[tokio::test]
+async fn other_cluster_and_protocol_are_refused() {
+    let (address, _) = serve(b"profile = \"dispatch\"").await;
+    let answer = client(1, "other").exchange(address, digest()).await;
+    assert_eq!(answer, Err(ControlError::Cluster("other".into())));
+    let answer = client(2, "loopback").exchange(address, digest()).await;
+    assert_eq!(answer, Err(ControlError::Protocol(2)));
+    let answer = client(1, "loopback").exchange(address, digest()).await;
+    assert!(answer.is_ok());
+}
+
+/// Guards against values that do not pass the real transport, among them one of 1 MB.
+#[tokio::test]
+async fn value_is_fetched_in_pieces() {
+    let value = format!("profile = \"a\"\n#{}", "x".repeat(1_000_000)).leak();
+    let (address, stamp) = serve(value.as_bytes()).await;
+    let client = client(1, "loopback");
+    let key = "services/stand-status".into();
+    let fetched = client.fetch(address, &key, stamp).await.unwrap();
+    assert_eq!(fetched, value.as_bytes());
+    let absent = client.fetch(address, &"profiles/a".into(), stamp).await;
+    assert_eq!(absent, Err(ControlError::NotHeld));
+}
+
+/// Guards against a message over the bound that is read into memory, and against a listener that
+/// such a message or noise stops.
+#[tokio::test]
+async fn oversized_message_and_noise_end_the_connection_only() {
+    let (address, _) = serve(b"profile = \"dispatch\"").await;
+    let length = MAX_MESSAGE_BYTES as u32 + 1;
+    let noise: [&[u8]; 2] = [
+        &length.to_be_bytes(),
+        &[0, 0, 0, 8, 255, 255, 255, 255, 9, 9, 9, 9],
+    ];
+    for bytes in noise {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        assert_eq!(stream.read(&mut [0; 16]).await.unwrap_or(0), 0);
+    }
+    let answer = client(1, "loopback").exchange(address, digest()).await;
+    assert!(answer.is_ok());
+}
+
+/// Guards against a daemon without platform and peers that runs requests without a profile.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_refuses_requests_while_nothing_is_reachable() {
+    let settings = DaemonSettings {
+        cluster: "loopback".into(),
+        data_centre: "dc-1".into(),
+        instance: "stand-status-1".into(),
+        service: "stand-status".into(),
+        backend: free_address().await,
+        edge: free_address().await,
+        peer: free_address().await,
+        outbound: free_address().await,
+        control: free_address().await,
+        admin: free_address().await,
+        platform: free_address().await,
+        seed_peers: vec![free_address().await],
+        calls: Vec::new(),
+        trace_file: None,
+    };
+    let edge = settings.edge;
+    let stop = watch::Sender::new(false);
+    let task = tokio::spawn(daemon::run(settings, stop.subscribe()));
+    while TcpStream::connect(edge).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let request = Request::get(format!("http://{edge}/stands/4"));
+    let request = request.body(Body::default()).unwrap();
+    let response = HttpClient::new().send(edge, request).await.unwrap();
+    assert_eq!(response.headers()[header_names::OUTCOME], "not-run");
+    assert_eq!(response.headers()["skylark-reason"], "no-profile");
+    stop.send_replace(true);
+    task.await.unwrap().unwrap();
+}
