--- a/src/decision/catalogue/catalogue_roles.rs
+++ b/src/decision/catalogue/catalogue_roles.rs
@@ -87,7 +87,8 @@
         self.needs(key) || self.held.contains(key) || self.announced.contains_key(key)
     }
 
-    /// Chooses a peer that is likely to hold a value. Each third try goes to another data centre.
+    /// Chooses a peer that is likely to hold a value. Each third try goes to any
+    /// data centre; for a holder or a reader, which others rely on, each second one does.
     pub fn fetch_peer(
         &self,
         view: &PeerView,
@@ -98,7 +99,9 @@
     ) -> Option<SocketAddr> {
         let choice = ReaderChoice::new(view);
         let names: Vec<&SmolStr> = view.data_centres().map(|(name, _)| name).collect();
-        let is_remote = tries % 3 == 2 && !names.is_empty();
+        let serves_others = self.held.contains(key) || self.announced.contains_key(key);
+        let turn = if serves_others { 2 } else { 3 };
+        let is_remote = tries % turn == turn - 1 && !names.is_empty();
         let data_centre = if is_remote {
             names[rng.random_range(0..names.len())]
         } else {
--- a/src/decision/catalogue/fetch_plan.rs
+++ b/src/decision/catalogue/fetch_plan.rs
@@ -10,7 +10,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 
 /// Longest pause between two fetches of a value.
-const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 /// Time after which a fetch without an answer counts as failed.
 const FETCH_EXPIRY: Duration = Duration::from_secs(30);
