Group the daemons of a view once for all changed lists

Each new list rebuilt the view, and each choice of holders hashed all names of the data centre again, which took minutes in a start of 2,300 nodes under virtual time.

--- a/src/decision/catalogue/catalogue_node.rs
+++ b/src/decision/catalogue/catalogue_node.rs
@@ -47,7 +47,7 @@
     view: PeerView,
     largest_fleet: usize,
     roles: CatalogueRoles,
-    is_view_changed: bool,
+    is_list_refused: bool,
     role_keys: usize,
     is_plan_due: bool,
     gossip: GossipRound,
@@ -70,7 +70,7 @@
             view: PeerView::default(),
             largest_fleet: 0,
             roles: CatalogueRoles::new(settings.own.clone()),
-            is_view_changed: false,
+            is_list_refused: false,
             role_keys: 0,
             is_plan_due: false,
             platform: PlatformSchedule::new(!gossip.has_seeds(), now),
@@ -217,7 +217,7 @@
         if let Err(error) = CatalogueValue::parse(key, bytes) {
             let (version, reason) = (stamp.version, error.to_string());
             self.book.refuse(key, version, reason.clone());
-            self.is_view_changed |= key.starts_with("instances/");
+            self.is_list_refused |= key.starts_with("instances/");
             let key = key.clone();
             return vec![CatalogueAction::Refuse {
                 key,
@@ -350,8 +350,10 @@
     }
 
     fn update_roles(&mut self) {
-        if self.is_view_changed || self.role_keys != self.index.len() {
-            self.is_view_changed = false;
+        let is_view_changed = self.view.refresh();
+        self.largest_fleet = self.largest_fleet.max(self.view.len());
+        if is_view_changed || self.is_list_refused || self.role_keys != self.index.len() {
+            self.is_list_refused = false;
             self.role_keys = self.index.len();
             // During a start each daemon knows other lists first; over these, many would take
             // themselves for readers.
@@ -404,8 +406,6 @@
         match applied.value {
             CatalogueValue::Instances(instances) => {
                 self.view.set_list(key, &instances);
-                self.largest_fleet = self.largest_fleet.max(self.view.len());
-                self.is_view_changed = true;
             }
             CatalogueValue::Selection(profile) => {
                 self.update_needed();
--- a/src/decision/catalogue/peer_view.rs
+++ b/src/decision/catalogue/peer_view.rs
@@ -1,6 +1,7 @@
 //! Daemons that the lists of instances in view name.
 
 use crate::{common::*, decision::routing::upstream_set::InstanceInfo};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Most daemons of a view.
 pub const MAX_PEERS: usize = 4_096;
@@ -20,11 +21,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerView {
     lists: IndexMap<SmolStr, Vec<PeerInfo>>,
-    by_data_centre: IndexMap<SmolStr, Vec<PeerInfo>>,
+    groups: IndexMap<SmolStr, PeerGroup>,
+    is_changed: bool,
+}
+
+/// Daemons of one data centre with the hashes of their names.
+#[derive(Clone, Debug, Default)]
+struct PeerGroup {
+    peers: Vec<PeerInfo>,
+    hashes: Vec<u64>,
 }
 
 impl PeerView {
-    /// Replaces the list of one service.
+    /// Replaces the list of one service; [`Self::refresh`] makes it visible.
     pub fn set_list(&mut self, service: &str, instances: &[InstanceInfo]) {
         let peers = instances
             .iter()
@@ -36,34 +45,50 @@
             })
             .collect();
         self.lists.insert(service.into(), peers);
-        self.by_data_centre.clear();
+        self.is_changed = true;
+    }
+
+    /// Groups the daemons again after changes of lists; returns whether there were any.
+    pub fn refresh(&mut self) -> bool {
+        if !std::mem::take(&mut self.is_changed) {
+            return false;
+        }
+        self.groups.clear();
         for peer in self.lists.values().flatten().take(MAX_PEERS) {
-            let group = self.by_data_centre.entry(peer.data_centre.clone());
-            group.or_default().push(peer.clone());
+            let group = self.groups.entry(peer.data_centre.clone()).or_default();
+            group.hashes.push(xxh3_64(peer.instance.as_bytes()));
+            group.peers.push(peer.clone());
         }
         // The choice of a data centre by turn needs the same order on all daemons.
-        self.by_data_centre.sort_unstable_keys();
+        self.groups.sort_unstable_keys();
+        true
     }
 
     /// Returns the daemons of a data centre.
     pub fn data_centre(&self, name: &str) -> &[PeerInfo] {
-        self.by_data_centre.get(name).map_or(&[], Vec::as_slice)
+        self.groups.get(name).map_or(&[], |group| &group.peers)
+    }
+
+    /// Returns the daemons of a data centre with the hashes of their names.
+    pub fn hashed(&self, name: &str) -> impl Iterator<Item = (u64, &PeerInfo)> {
+        let group = self.groups.get(name).into_iter();
+        group.flat_map(|group| group.hashes.iter().copied().zip(&group.peers))
     }
 
     /// Returns the data centres with their daemons, by name.
     pub fn data_centres(&self) -> impl Iterator<Item = (&SmolStr, &[PeerInfo])> {
-        self.by_data_centre
+        self.groups
             .iter()
-            .map(|(name, peers)| (name, peers.as_slice()))
+            .map(|(name, group)| (name, group.peers.as_slice()))
     }
 
     /// Returns the number of daemons.
     pub fn len(&self) -> usize {
-        self.by_data_centre.values().map(Vec::len).sum()
+        self.groups.values().map(|group| group.peers.len()).sum()
     }
 
     /// Returns whether no daemon is in view.
     pub fn is_empty(&self) -> bool {
-        self.by_data_centre.is_empty()
+        self.groups.is_empty()
     }
 }
--- a/src/decision/catalogue/reader_choice.rs
+++ b/src/decision/catalogue/reader_choice.rs
@@ -1,7 +1,7 @@
 //! Choice of daemons for a role by rendezvous hashing.
 
 use super::peer_view::{PeerInfo, PeerView};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Readers of the platform in each data centre.
 pub const READERS_PER_DATA_CENTRE: usize = 3;
@@ -34,7 +34,7 @@
     /// Returns the readers of a data centre.
     pub fn readers(&self, data_centre: &str) -> Vec<&'a PeerInfo> {
         top(
-            self.view.data_centre(data_centre),
+            self.view.hashed(data_centre),
             READER_SEED,
             READERS_PER_DATA_CENTRE,
         )
@@ -55,13 +55,13 @@
             .data_centres()
             .flat_map(|(name, _)| self.readers(name))
             .collect();
-        all.sort_unstable_by_key(|peer| weight(peer, READER_SEED));
+        all.sort_unstable_by_key(|peer| weight(xxh3_64(peer.instance.as_bytes()), READER_SEED));
         all.iter().rev().take(MAX_READERS).any(is_own)
     }
 
     /// Returns whether an instance exchanges with other data centres.
     pub fn is_link(&self, instance: &str, data_centre: &str) -> bool {
-        let peers = self.view.data_centre(data_centre);
+        let peers = self.view.hashed(data_centre);
         top(peers, LINK_SEED, LINKS_PER_DATA_CENTRE)
             .iter()
             .any(|peer| peer.instance == instance)
@@ -70,11 +70,7 @@
     /// Returns the holders of a key in a data centre.
     pub fn holders(&self, key: &str, data_centre: &str) -> Vec<&'a PeerInfo> {
         let seed = xxh3_64_with_seed(key.as_bytes(), HOLDER_SEED);
-        top(
-            self.view.data_centre(data_centre),
-            seed,
-            HOLDERS_PER_DATA_CENTRE,
-        )
+        top(self.view.hashed(data_centre), seed, HOLDERS_PER_DATA_CENTRE)
     }
 
     /// Returns whether an instance is a holder of a key.
@@ -85,14 +81,22 @@
     }
 }
 
-fn weight(peer: &PeerInfo, seed: u64) -> u64 {
-    xxh3_64_with_seed(peer.instance.as_bytes(), seed)
+/// Mixes the hash of a name with a seed; the constants are those of the finalizer of MurmurHash3.
+fn weight(hash: u64, seed: u64) -> u64 {
+    let mixed = hash ^ seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    mixed ^ (mixed >> 33)
 }
 
-fn top(peers: &[PeerInfo], seed: u64, count: usize) -> Vec<&PeerInfo> {
+fn top<'a>(
+    peers: impl Iterator<Item = (u64, &'a PeerInfo)>,
+    seed: u64,
+    count: usize,
+) -> Vec<&'a PeerInfo> {
     let mut chosen: Vec<(u64, &PeerInfo)> = Vec::with_capacity(count + 1);
-    for peer in peers {
-        let weight = weight(peer, seed);
+    for (hash, peer) in peers {
+        let weight = weight(hash, seed);
         let position = chosen.partition_point(|(other, _)| *other > weight);
         if position < count {
             chosen.insert(position, (weight, peer));
