--- a/tests/catalogue/spread.rs
+++ b/tests/catalogue/spread.rs
@@ -119,6 +119,21 @@
     fleet.run_seconds(20);
     assert!(fleet.is_in_force("s-0", 2));
     assert!(fleet.refusals > 0);
+    let report = fleet.report(0);
+    let profile = report
+        .keys
+        .iter()
+        .find(|key| key.key == "profiles/s-0")
+        .unwrap();
+    assert_eq!(
+        (profile.version, profile.latest_version),
+        (Some(2), Some(3))
+    );
+    assert_eq!(
+        profile.refusal.as_ref().map(|refusal| refusal.version),
+        Some(3)
+    );
+    assert!(report.peers_heard > 0 && report.peers_in_agreement == report.peers_heard);
     (0..12).for_each(|index| fleet.start(index));
     fleet.run_seconds(30);
     assert!(fleet.is_in_force("s-0", 2));
