--- a/src/controller.rs
+++ b/src/controller.rs
@@ -2,9 +2,10 @@
 
 pub mod attempt_guard;
 pub mod call_ledgers;
-pub mod catalogue_report;
 pub mod gate_controller;
+pub mod gossip_controller;
 pub mod lifecycle_controller;
 pub mod membership_controller;
+pub mod platform_reader;
 pub mod profile_controller;
 pub mod upstream_controller;
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -1,6 +1,11 @@
 //! Sockets, settings, logs, metrics, traces and signals.
 
 pub mod admin_server;
+pub mod control;
+pub mod control_client;
+pub mod control_driver;
+pub mod control_server;
+pub mod control_traffic;
 pub mod daemon;
 mod daemon_lifecycle;
 pub mod explain_codec;
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -3,14 +3,16 @@
 use crate::{
     common::*,
     controller::{
-        call_ledgers::CallLedgers,
-        gate_controller::GateController,
-        lifecycle_controller::LifecycleController,
-        membership_controller::MembershipController,
-        profile_controller::{self, ApplyError, ProfileController},
-        upstream_controller::UpstreamController,
+        call_ledgers::CallLedgers, gate_controller::GateController,
+        gossip_controller::GossipController, lifecycle_controller::LifecycleController,
+        membership_controller::MembershipController, platform_reader::PlatformReader,
+        profile_controller::ProfileController, upstream_controller::UpstreamController,
     },
     decision::{
+        catalogue::{
+            catalogue_message::AppliedValue, catalogue_node::NodeSettings,
+            catalogue_value::CatalogueValue, peer_view::PeerInfo,
+        },
         clock::{Clock, SystemClock},
         lifecycle::lifecycle_state::Lifecycle,
         membership::{
@@ -27,7 +29,11 @@
     },
     settings::DaemonSettings,
     shell::{
-        admin_server, daemon_lifecycle, header_names,
+        admin_server,
+        control::ControlHeader,
+        control_client::ControlClient,
+        control_driver::ControlDriver,
+        control_server, daemon_lifecycle, header_names,
         http_client::HttpClient,
         http_server,
         metrics::DaemonMetrics,
@@ -43,12 +49,6 @@
 /// Interval of decisions that depend on the time alone.
 const TICK: Duration = Duration::from_millis(5);
 
-/// Longest wait for a change on the platform.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-
-/// Pause after a failed call to the platform.
-const PLATFORM_BACKOFF: Duration = Duration::from_millis(500);
-
 /// State that all requests of a daemon share.
 pub struct DaemonState {
     /// Settings read at start.
@@ -57,6 +57,8 @@
     pub clock: Arc<dyn Clock>,
     /// Profiles in force.
     pub profiles: ProfileController,
+    /// Catalogue exchange with other daemons.
+    pub gossip: Arc<GossipController>,
     /// Gate of the own backend server.
     pub gate: Arc<GateController>,
     /// Ledgers of the calls in flight.
@@ -107,6 +109,7 @@
         ));
         let incarnation = Incarnation(rand::random());
         let own = own_record(&settings, incarnation);
+        let gossip = GossipController::new(node_settings(&settings), Arc::clone(&clock));
         Ok(Self {
             members: MembershipController::new(own, Arc::clone(&upstreams), clock.now()),
             lifecycle: LifecycleController::new(incarnation),
@@ -115,7 +118,8 @@
                 Arc::clone(&clock),
             )),
             upstreams,
-            profiles: ProfileController::default(),
+            profiles: ProfileController::new(gossip.node(), Arc::clone(&clock)),
+            gossip: Arc::new(gossip),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
             metrics: DaemonMetrics::new(&settings.calls, spans.dropped_counter()),
@@ -172,33 +176,57 @@
         calls.all(|call| self.profiles.get(call).is_some() && !self.upstreams.is_empty(call))
     }
 
-    async fn refresh_profile(
-        &self,
-        platform: &PlatformClient,
-        service: &SmolStr,
-    ) -> Result<(), ApplyError> {
-        let version = || self.profiles.get(service).map(|found| found.version);
-        let (before, start) = (version(), self.clock.now());
-        self.profiles.refresh(platform, service).await?;
-        if version() != before {
-            self.metrics.observe_profile_lag(self.clock.now() - start);
+    /// Follows a value that came into force.
+    fn follow(&self, applied: &AppliedValue) {
+        if let CatalogueValue::Instances(instances) = &applied.value
+            && let Some(service) = applied.key.strip_prefix("instances/")
+        {
+            let now = self.clock.now();
+            self.members
+                .apply_list(&service.into(), applied.stamp.version, instances, now);
         }
-        Ok(())
     }
 
-    async fn refresh(&self, platform: &PlatformClient) -> Result<(), ApplyError> {
+    /// Puts a value in force.
+    fn apply(&self, applied: &AppliedValue) {
         let own = &self.settings.service;
-        self.refresh_profile(platform, own).await?;
-        if let Some(in_force) = self.profiles.get(own) {
+        let before = self.profiles.get(own);
+        self.profiles.apply(applied, |applied| self.follow(applied));
+        let Some(in_force) = self.profiles.get(own) else {
+            return;
+        };
+        if before.is_none_or(|before| !Arc::ptr_eq(&before.profile, &in_force.profile)) {
             self.gate.set_limits(in_force.profile.admission.clone());
         }
-        for service in &self.settings.calls {
-            self.refresh_profile(platform, service).await?;
-            let (version, members) = profile_controller::read_instances(platform, service).await?;
-            self.members
-                .apply_list(service, version, &members, self.clock.now());
-        }
-        Ok(())
+    }
+}
+
+fn node_settings(settings: &DaemonSettings) -> NodeSettings {
+    let own = std::iter::once(&settings.service);
+    NodeSettings {
+        own: PeerInfo {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            control: settings.control,
+        },
+        services: own.chain(&settings.calls).cloned().collect(),
+        seeds: settings.seed_peers.clone(),
+        seed: rand::random(),
+    }
+}
+
+fn control_driver(daemon: &Arc<DaemonState>) -> ControlDriver {
+    let platform = PlatformClient::new(daemon.settings.platform, daemon.client.clone());
+    let (node, clock) = (daemon.gossip.node(), Arc::clone(&daemon.clock));
+    let applying = Arc::clone(daemon);
+    ControlDriver {
+        gossip: Arc::clone(&daemon.gossip),
+        platform: PlatformReader::new(platform, node, clock),
+        client: ControlClient::new(
+            ControlHeader::new(daemon.settings.cluster.clone()),
+            Arc::clone(&daemon.gossip.traffic),
+        ),
+        apply: Box::new(move |applied| applying.apply(applied)),
     }
 }
 
@@ -226,8 +254,14 @@
     let peer = listen(settings.peer).await?;
     let outbound = listen(settings.outbound).await?;
     let admin = listen(settings.admin).await?;
+    let control = listen(settings.control).await?;
     let mut background = JoinSet::new();
-    background.spawn(follow_platform(Arc::clone(&daemon)));
+    background.spawn(control_server::serve(
+        control,
+        ControlHeader::new(settings.cluster.clone()),
+        Arc::clone(&daemon.gossip),
+    ));
+    background.spawn(Arc::new(control_driver(&daemon)).run());
     background.spawn(tick(Arc::clone(&daemon)));
     background.spawn(count_drain(Arc::clone(&daemon), stop.clone()));
     background.spawn(daemon_lifecycle::detect_pauses(Arc::clone(&daemon)));
@@ -301,24 +335,3 @@
         daemon.gate.tick();
     }
 }
-
-async fn follow_platform(daemon: Arc<DaemonState>) {
-    let platform = PlatformClient::new(daemon.settings.platform, daemon.client.clone());
-    let mut revision = 0;
-    loop {
-        let step = async {
-            let change = platform.watch(revision, WATCH_WAIT).await?;
-            if change.revision > revision {
-                daemon.refresh(&platform).await?;
-            }
-            Ok::<_, ApplyError>(change.revision)
-        };
-        match step.await {
-            Ok(latest) => revision = revision.max(latest),
-            Err(error) => {
-                log::warn!("platform: {error}");
-                tokio::time::sleep(PLATFORM_BACKOFF).await;
-            }
-        }
-    }
-}
--- a/src/shell/profiles_report.rs
+++ b/src/shell/profiles_report.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     common::*,
-    controller::catalogue_report::{CatalogueReport, KeyReport, ValueSource},
+    decision::catalogue::catalogue_report::{CatalogueReport, KeyReport, ValueSource},
     decision::profile::profile_digest::ProfileDigest,
     shell::daemon::DaemonState,
 };
--- a/src/shell/status_report.rs
+++ b/src/shell/status_report.rs
@@ -4,7 +4,7 @@
     common::*,
     controller::gate_controller::GateLoad,
     decision::profile::service_profile::{AdmissionLimits, RetryLimits},
-    shell::daemon::DaemonState,
+    shell::{control_traffic::TrafficReport, daemon::DaemonState},
 };
 
 /// State of a daemon as operators see it.
@@ -40,6 +40,8 @@
     pub peers_heard: usize,
     /// Peers among them with the same catalogue.
     pub peers_in_agreement: usize,
+    /// Bytes on control connections.
+    pub control: TrafficReport,
     /// Spans that were not exported.
     pub dropped_spans: u64,
 }
@@ -89,6 +91,7 @@
             seed_peers: settings.seed_peers.clone(),
             peers_heard: catalogue.peers_heard,
             peers_in_agreement: catalogue.peers_in_agreement,
+            control: daemon.gossip.traffic.report(),
             dropped_spans: daemon.spans.dropped(),
         }
     }
@@ -137,6 +140,14 @@
         writeln!(f, "seed peers  {peers}")?;
         let (heard, equal) = (self.peers_heard, self.peers_in_agreement);
         writeln!(f, "peers       {heard} heard from, {equal} in agreement")?;
+        let TrafficReport {
+            sent_bytes,
+            received_bytes,
+        } = self.control;
+        writeln!(
+            f,
+            "control     {sent_bytes} bytes sent, {received_bytes} received"
+        )?;
         writeln!(f, "spans lost  {}", self.dropped_spans)?;
         if self.calls.is_empty() {
             return Ok(());
--- a/tests/operator_view.rs
+++ b/tests/operator_view.rs
@@ -4,11 +4,9 @@
 
 use insta::assert_snapshot;
 use skylarkstream::{
-    controller::{
-        catalogue_report::{CatalogueReport, KeyRefusal, KeyReport, ValueSource},
-        gate_controller::GateLoad,
-    },
+    controller::gate_controller::GateLoad,
     decision::{
+        catalogue::catalogue_report::{CatalogueReport, KeyRefusal, KeyReport, ValueSource},
         profile::{
             request_explanation::{ExplainQuery, GateView, RequestExplanation},
             service_profile::{RetryLimits, ServiceProfile},
@@ -16,6 +14,7 @@
         request_priority::RequestPriority,
     },
     shell::{
+        control_traffic::TrafficReport,
         explain_codec,
         profiles_report::{ProfileEntry, ProfilesReport},
         status_report::{CalledService, StatusReport},
@@ -55,6 +54,10 @@
         seed_peers: vec!["10.0.0.2:7002".parse().unwrap()],
         peers_heard: 11,
         peers_in_agreement: 9,
+        control: TrafficReport {
+            sent_bytes: 1_200,
+            received_bytes: 3_400,
+        },
         dropped_spans: 0,
     };
     assert_snapshot!(report);
