Add the member table, the life cycle states and pause detection

Nothing joined the platform's list with what daemons observe, so a list that lags could bring back an instance that had left.

MemberTable joins records of (instance, incarnation) by the later phase and lists by the higher version. An incarnation counts as gone only when a request sent after its last response was answered by another one at the same address; failed calls are no input. Lifecycle is a typestate, PauseDetector reports gaps of more than 1 s between ticks.

The property test runs 300 fixed seeds.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -2,6 +2,9 @@
 
 pub mod admission;
 pub mod clock;
+pub mod lifecycle;
+pub mod membership;
+pub mod pause_detector;
 pub mod profile;
 pub mod request_context;
 pub mod request_priority;
--- /dev/null
+++ b/src/decision/lifecycle/lifecycle_state.rs
@@ -0,0 +1,127 @@
+//! Life cycle as a typestate.
+
+use crate::{
+    common::*,
+    decision::{
+        lifecycle::lifecycle_phase::{DrainCause, LifecyclePhase},
+        membership::incarnation::Incarnation,
+    },
+};
+
+/// State before the configuration is complete.
+#[derive(Debug)]
+pub struct Starting(());
+
+/// State in which new work is accepted.
+#[derive(Debug)]
+pub struct Serving(());
+
+/// State in which new work is refused and accepted work finishes.
+#[derive(Debug)]
+pub struct Draining {
+    cause: DrainCause,
+    since: Instant,
+}
+
+/// State after the last accepted request.
+#[derive(Debug)]
+pub struct Stopped(());
+
+/// State of a life cycle with its phase.
+pub trait LifecycleState {
+    /// Phase that others see.
+    const PHASE: LifecyclePhase;
+}
+
+impl LifecycleState for Starting {
+    const PHASE: LifecyclePhase = LifecyclePhase::Starting;
+}
+
+impl LifecycleState for Serving {
+    const PHASE: LifecyclePhase = LifecyclePhase::Serving;
+}
+
+impl LifecycleState for Draining {
+    const PHASE: LifecyclePhase = LifecyclePhase::Draining;
+}
+
+impl LifecycleState for Stopped {
+    const PHASE: LifecyclePhase = LifecyclePhase::Stopped;
+}
+
+/// Life cycle of one incarnation of a daemon.
+#[derive(Debug)]
+pub struct Lifecycle<S> {
+    incarnation: Incarnation,
+    state: S,
+}
+
+impl<S: LifecycleState> Lifecycle<S> {
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the phase that others see.
+    pub fn phase(&self) -> LifecyclePhase {
+        S::PHASE
+    }
+
+    fn into_draining(self, cause: DrainCause, now: Instant) -> Lifecycle<Draining> {
+        Lifecycle {
+            incarnation: self.incarnation,
+            state: Draining { cause, since: now },
+        }
+    }
+}
+
+impl Lifecycle<Starting> {
+    /// Begins the life cycle of an incarnation.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            state: Starting(()),
+        }
+    }
+
+    /// Starts to serve once the configuration is complete.
+    pub fn serve(self) -> Lifecycle<Serving> {
+        Lifecycle {
+            incarnation: self.incarnation,
+            state: Serving(()),
+        }
+    }
+
+    /// Starts to drain without having served.
+    pub fn drain(self, cause: DrainCause, now: Instant) -> Lifecycle<Draining> {
+        self.into_draining(cause, now)
+    }
+}
+
+impl Lifecycle<Serving> {
+    /// Starts to drain.
+    pub fn drain(self, cause: DrainCause, now: Instant) -> Lifecycle<Draining> {
+        self.into_draining(cause, now)
+    }
+}
+
+impl Lifecycle<Draining> {
+    /// Returns why the daemon drains.
+    pub fn cause(&self) -> DrainCause {
+        self.state.cause
+    }
+
+    /// Returns when the listeners close. Until then connections are accepted and their requests
+    /// refused, since the callers have not all heard of the drain.
+    pub fn refuses_until(&self, refusal_time: Duration) -> Instant {
+        self.state.since + refusal_time
+    }
+
+    /// Ends the life cycle.
+    pub fn stop(self) -> Lifecycle<Stopped> {
+        Lifecycle {
+            incarnation: self.incarnation,
+            state: Stopped(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/decision/membership/incarnation.rs
@@ -0,0 +1,31 @@
+//! Identity of one run of a daemon.
+
+use crate::common::*;
+
+/// Random number that a daemon draws at start; written as 16 hex digits.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, Eq, PartialEq, Hash, Ord, PartialOrd)]
+pub struct Incarnation(pub u64);
+
+/// The text is not an incarnation.
+#[derive(Debug, Error)]
+#[error("An incarnation has 16 hex digits.")]
+pub struct IncarnationError;
+
+impl Display for Incarnation {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = IncarnationError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 16 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(IncarnationError);
+        }
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| IncarnationError)
+    }
+}
--- /dev/null
+++ b/src/decision/membership/member_record.rs
@@ -0,0 +1,73 @@
+//! What daemons tell each other about an incarnation.
+
+use crate::{
+    common::*,
+    decision::{
+        membership::{incarnation::Incarnation, member_phase::MemberPhase},
+        routing::upstream_set::InstanceInfo,
+    },
+};
+
+/// Identifies an instance.
+#[derive(Clone, Debug, Eq, PartialEq, Hash, Ord, PartialOrd)]
+pub struct MemberKey {
+    /// Service of the instance.
+    pub service: SmolStr,
+    /// Name of the instance.
+    pub instance: SmolStr,
+}
+
+/// Phase of one incarnation as some daemon learnt it first hand.
+#[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
+pub struct MemberRecord {
+    /// Service of the instance.
+    pub service: SmolStr,
+    /// Addresses of the instance; its `leaving` flag is unused.
+    pub info: InstanceInfo,
+    /// Incarnation.
+    pub incarnation: Incarnation,
+    /// Latest known phase.
+    pub phase: MemberPhase,
+}
+
+/// Response of a daemon that this daemon received itself.
+#[derive(Clone, Debug)]
+pub struct PeerObservation {
+    /// Service of the instance.
+    pub service: SmolStr,
+    /// Instance that the request was sent to.
+    pub info: InstanceInfo,
+    /// Incarnation that responded.
+    pub incarnation: Incarnation,
+    /// Whether the response announces that the instance leaves.
+    pub is_leaving: bool,
+    /// Instant before the request was sent.
+    pub sent: Instant,
+    /// Instant after the response was received.
+    pub received: Instant,
+}
+
+impl MemberRecord {
+    /// Returns the key of the instance.
+    pub fn key(&self) -> MemberKey {
+        MemberKey {
+            service: self.service.clone(),
+            instance: self.info.instance.clone(),
+        }
+    }
+}
+
+impl From<&PeerObservation> for MemberRecord {
+    fn from(observation: &PeerObservation) -> Self {
+        Self {
+            service: observation.service.clone(),
+            info: observation.info.clone(),
+            incarnation: observation.incarnation,
+            phase: if observation.is_leaving {
+                MemberPhase::Leaving
+            } else {
+                MemberPhase::Live
+            },
+        }
+    }
+}
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,284 @@
+//! Membership under reordered, lost, duplicated and delayed inputs.
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
+use skylarkstream::decision::{
+    membership::{
+        incarnation::Incarnation,
+        member_phase::MemberPhase,
+        member_record::{MemberRecord, PeerObservation},
+        member_table::{MemberChange, MemberTable},
+    },
+    routing::upstream_set::InstanceInfo,
+};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+const SERVICE: &str = "stand-status";
+const TABLES: usize = 3;
+const INSTANCES: u16 = 2;
+
+/// Runs of the model, each with a fixed seed and eight more random bytes than the one before.
+const ROUNDS: u64 = 300;
+
+fn info(instance: u16) -> InstanceInfo {
+    InstanceInfo {
+        instance: format!("i-{instance}").into(),
+        data_centre: "dc-1".into(),
+        peer: ([127, 0, 0, 1], instance + 1).into(),
+        control: ([127, 0, 0, 1], instance + 101).into(),
+        leaving: false,
+    }
+}
+
+fn observation(instance: u16, incarnation: u64, is_leaving: bool, at: Instant) -> PeerObservation {
+    PeerObservation {
+        service: SERVICE.into(),
+        info: info(instance),
+        incarnation: Incarnation(incarnation),
+        is_leaving,
+        sent: at,
+        received: at,
+    }
+}
+
+/// Input on its way to a table; a paused daemon processes it late.
+#[derive(Clone)]
+enum Input {
+    Response(PeerObservation),
+    Records(Vec<MemberRecord>),
+    List(u64, Vec<InstanceInfo>),
+}
+
+type Phases = BTreeMap<(String, Incarnation), MemberPhase>;
+
+/// Model of the true instances, and the tables of daemons that hear of them.
+struct Model {
+    now: Instant,
+    runs: Vec<(u64, bool)>,
+    next_incarnation: u64,
+    lists: Vec<Vec<InstanceInfo>>,
+    tables: Vec<MemberTable>,
+    pending: Vec<(usize, Input)>,
+}
+
+impl Model {
+    fn new() -> Self {
+        let list = (0..INSTANCES).map(info).collect();
+        Self {
+            now: Instant::now(),
+            runs: (0..u64::from(INSTANCES)).map(|run| (run, false)).collect(),
+            next_incarnation: 100,
+            lists: vec![list],
+            tables: (0..TABLES).map(|_| MemberTable::default()).collect(),
+            pending: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, random: &mut Unstructured) -> Result<()> {
+        self.now += Duration::from_millis(random.int_in_range(0..=2)?);
+        let table = random.choose_index(TABLES)?;
+        let instance = random.int_in_range(0..=INSTANCES - 1)?;
+        let run = &mut self.runs[usize::from(instance)];
+        match random.int_in_range(0..=7)? {
+            0 => run.1 = true,
+            1 => {
+                // Incarnations are random numbers, so their order must not matter.
+                self.next_incarnation += 1;
+                *run = (
+                    self.next_incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                    false,
+                );
+                self.now += Duration::from_millis(1);
+            }
+            2 | 3 => {
+                let seen = observation(instance, run.0, run.1, self.now);
+                self.pending.push((table, Input::Response(seen)));
+            }
+            4 => {
+                let from = random.choose_index(TABLES)?;
+                let records = self.tables[from].records();
+                self.pending.push((table, Input::Records(records)));
+            }
+            5 => {
+                let mut list = (0..INSTANCES).map(info).collect::<Vec<_>>();
+                list[usize::from(instance)].leaving = random.arbitrary()?;
+                self.lists.push(list);
+            }
+            6 => {
+                let version = random.choose_index(self.lists.len())?;
+                let list = Input::List(version as u64 + 1, self.lists[version].clone());
+                self.pending.push((table, list));
+            }
+            _ => self.deliver(random)?,
+        }
+        Ok(())
+    }
+
+    /// Delivers, duplicates or loses a pending input of any age.
+    fn deliver(&mut self, random: &mut Unstructured) -> Result<()> {
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        let index = random.choose_index(self.pending.len())?;
+        let (table, input) = match random.int_in_range(0..=3)? {
+            0 => self.pending[index].clone(),
+            1 => {
+                self.pending.swap_remove(index);
+                return Ok(());
+            }
+            _ => self.pending.swap_remove(index),
+        };
+        self.apply(table, input);
+        Ok(())
+    }
+
+    fn apply(&mut self, table: usize, input: Input) {
+        let before = phases(&self.tables[table]);
+        let target = &mut self.tables[table];
+        match input {
+            Input::Response(mut seen) => {
+                seen.received = self.now;
+                target.observe(&seen);
+            }
+            Input::Records(records) => {
+                for record in &records {
+                    target.merge(record, self.now);
+                }
+            }
+            Input::List(version, list) => {
+                target.apply_list(&SERVICE.into(), version, &list);
+            }
+        }
+        self.check(table, &before);
+    }
+
+    fn check(&self, table: usize, before: &Phases) {
+        let after = phases(&self.tables[table]);
+        for (run, phase) in before {
+            assert!(after[run] >= *phase, "{run:?} went back from {phase:?}");
+        }
+        for (instance, (incarnation, is_leaving)) in (0..).zip(&self.runs) {
+            let name = info(instance).instance.to_string();
+            let phase = after.get(&(name.clone(), Incarnation(*incarnation)));
+            assert!(phase != Some(&MemberPhase::Gone), "{name} runs");
+            assert!(
+                *is_leaving || phase != Some(&MemberPhase::Leaving),
+                "{name} serves"
+            );
+            let has_left = after.keys().any(|run| run.0 == name)
+                && after
+                    .iter()
+                    .all(|(run, phase)| run.0 != name || *phase > MemberPhase::Live);
+            let views = self.tables[table].members(SERVICE, self.now);
+            let is_offered = views
+                .iter()
+                .any(|view| view.info.instance == name && !view.info.leaving);
+            assert!(!(has_left && is_offered), "{name} is back after it left");
+        }
+    }
+
+    /// Delivers the newest list, a late duplicate of the first one, and all records.
+    fn exchange(&mut self) {
+        let list = Input::List(
+            self.lists.len() as u64,
+            self.lists[self.lists.len() - 1].clone(),
+        );
+        for table in 0..TABLES {
+            self.apply(table, list.clone());
+        }
+        self.apply(0, Input::List(1, self.lists[0].clone()));
+        for from in (0..TABLES).chain(0..TABLES) {
+            let records = self.tables[from].records();
+            for table in 0..TABLES {
+                self.apply(table, Input::Records(records.clone()));
+            }
+        }
+    }
+}
+
+fn phases(table: &MemberTable) -> Phases {
+    let records = table.records().into_iter();
+    records
+        .map(|record| {
+            (
+                (record.info.instance.into(), record.incarnation),
+                record.phase,
+            )
+        })
+        .collect()
+}
+
+/// Guards against inputs, in any order and number and of any age, that bring back an incarnation
+/// that has left, declare a live one dead, or leave tables different after an exchange.
+#[test]
+fn tables_only_move_forward_and_converge() {
+    for round in 1..=ROUNDS {
+        let random_part = round * 0x9e37_79b1 % u64::from(u32::MAX);
+        arbtest(run_model).seed((random_part << 32) | (round * 8));
+    }
+}
+
+fn run_model(random: &mut Unstructured) -> Result<()> {
+    let mut model = Model::new();
+    while !random.is_empty() {
+        model.step(random)?;
+    }
+    model.exchange();
+    let views = |table: &MemberTable| table.members(SERVICE, model.now);
+    for table in &model.tables[1..] {
+        assert_eq!(table.records(), model.tables[0].records());
+        assert_eq!(table.digest(), model.tables[0].digest());
+        assert_eq!(views(table), views(&model.tables[0]));
+    }
+    Ok(())
+}
+
+/// Guards against an instance that stays out after its restart, although a daemon has met it.
+#[test]
+fn new_incarnation_counts_once_met() {
+    let now = Instant::now();
+    let mut table = MemberTable::default();
+    table.apply_list(&SERVICE.into(), 1, &[info(0)]);
+    table.observe(&observation(0, 1, true, now));
+    assert!(table.members(SERVICE, now)[0].info.leaving);
+    let later = now + Duration::from_secs(1);
+    let change = table.observe(&observation(0, 2, false, later));
+    assert_eq!(change, MemberChange::Restart);
+    assert!(!table.members(SERVICE, later)[0].info.leaving);
+    assert_eq!(table.records()[0].phase, MemberPhase::Gone);
+}
+
+/// Guards against a response of an earlier incarnation, processed after a pause, that ends the
+/// present one.
+#[test]
+fn late_response_does_not_end_the_next_incarnation() {
+    let now = Instant::now();
+    let mut late = observation(0, 1, false, now);
+    late.received = now + Duration::from_secs(20);
+    let mut table = MemberTable::default();
+    table.observe(&observation(0, 2, false, now + Duration::from_secs(10)));
+    table.observe(&late);
+    assert_eq!(table.records()[1].phase, MemberPhase::Live);
+}
+
+/// Guards against a table that grows without bound, and against the loss of live records.
+#[test]
+fn full_table_drops_left_records_only() {
+    let now = Instant::now();
+    let mut table = MemberTable::default();
+    for incarnation in 0..8_300 {
+        let seen = observation(0, incarnation, incarnation >= 8_000, now);
+        table.merge(&(&seen).into(), now);
+    }
+    let records = table.records();
+    assert_eq!(records.len(), 8_192);
+    let live = records
+        .iter()
+        .filter(|record| record.phase == MemberPhase::Live);
+    assert_eq!(live.count(), 8_000);
+}
