Drain, pause and follow members in the daemon

A stopped daemon closed its listeners at once, which broke connection attempts and idle connections of peers; nothing told peers of the drain. A paused daemon blamed its peers. A cancelled call counted as in flight forever.

The daemon now runs through the life cycle states. SIGTERM, SIGINT, POST /drain and skylark-drain of the backend server start the drain: new work is refused as not run (reason draining), responses tell peers the incarnation and callers to close, the listeners stay open for refusal_ms, and accepted requests finish up to the latest deadline. Responses to peers carry skylark-incarnation; the member table feeds the sets of upstreams, and instances that have left are probed for a new incarnation. A 100 ms tick detects pauses. AttemptGuard ends cancelled attempts.

The chain of the tests takes reserved loopback addresses.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,6 +1,9 @@
 //! Controllers of the state that requests share.
 
+pub mod attempt_guard;
 pub mod call_ledgers;
 pub mod gate_controller;
+pub mod lifecycle_controller;
+pub mod membership_controller;
 pub mod profile_controller;
 pub mod upstream_controller;
--- /dev/null
+++ b/src/controller/lifecycle_controller.rs
@@ -0,0 +1,93 @@
+//! Phase of the own daemon and the requests that it has accepted.
+
+use crate::{
+    common::*,
+    decision::{
+        lifecycle::{
+            lifecycle_phase::{DrainCause, LifecyclePhase},
+            lifecycle_state::{Lifecycle, LifecycleState},
+        },
+        membership::incarnation::Incarnation,
+    },
+};
+use tokio::sync::watch;
+
+#[derive(Debug)]
+struct AcceptState {
+    phase: LifecyclePhase,
+    latest_deadline: Option<Instant>,
+}
+
+/// Publishes the phase of the life cycle, which [`crate::shell::daemon::run`] owns.
+#[derive(Debug)]
+pub struct LifecycleController {
+    incarnation: Incarnation,
+    state: Mutex<AcceptState>,
+    drain: watch::Sender<Option<DrainCause>>,
+}
+
+impl LifecycleController {
+    /// Creates the controller of a daemon that starts.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            state: Mutex::new(AcceptState {
+                phase: LifecyclePhase::Starting,
+                latest_deadline: None,
+            }),
+            drain: watch::Sender::new(None),
+        }
+    }
+
+    /// Returns the incarnation of the daemon.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the current phase.
+    pub fn phase(&self) -> LifecyclePhase {
+        self.state.lock().phase
+    }
+
+    /// Publishes the phase of a life cycle.
+    pub fn enter<S: LifecycleState>(&self, lifecycle: &Lifecycle<S>) {
+        self.state.lock().phase = lifecycle.phase();
+    }
+
+    /// Asks the daemon to drain; only the first cause counts.
+    pub fn request_drain(&self, cause: DrainCause) {
+        self.drain.send_if_modified(|current| {
+            let is_first = current.is_none();
+            current.get_or_insert(cause);
+            is_first
+        });
+    }
+
+    /// Waits until the daemon is asked to drain.
+    pub async fn drain_requested(&self) -> DrainCause {
+        let mut receiver = self.drain.subscribe();
+        let cause = receiver.wait_for(Option::is_some).await;
+        // The sender lives as long as `self`, so the wait cannot fail.
+        cause.map_or(DrainCause::Signal, |cause| {
+            cause.unwrap_or(DrainCause::Signal)
+        })
+    }
+
+    /// Accepts a request, or returns the phase in which the daemon accepts none.
+    ///
+    /// The check and the record of the deadline are one step, so that a drain waits for every
+    /// request that was accepted before it.
+    pub fn accept(&self, deadline: Instant) -> Result<(), LifecyclePhase> {
+        let mut state = self.state.lock();
+        if state.phase != LifecyclePhase::Serving {
+            return Err(state.phase);
+        }
+        state.latest_deadline = state.latest_deadline.max(Some(deadline));
+        Ok(())
+    }
+
+    /// Returns the latest deadline of all accepted requests.
+    pub fn latest_deadline(&self) -> Option<Instant> {
+        self.state.lock().latest_deadline
+    }
+}
--- /dev/null
+++ b/src/controller/membership_controller.rs
@@ -0,0 +1,123 @@
+//! Connects the member table with the sets of upstreams.
+
+use crate::{
+    common::*,
+    controller::upstream_controller::UpstreamController,
+    decision::{
+        membership::{
+            member_phase::MemberPhase,
+            member_record::{MemberRecord, PeerObservation},
+            member_table::{MemberChange, MemberTable},
+        },
+        routing::upstream_set::InstanceInfo,
+    },
+};
+
+/// Member table of the daemon; each change reaches the set of upstreams at once.
+#[derive(Debug)]
+pub struct MembershipController {
+    table: Mutex<MemberTable>,
+    own: MemberRecord,
+    upstreams: Arc<UpstreamController>,
+}
+
+impl MembershipController {
+    /// Creates a table that holds the own record.
+    pub fn new(own: MemberRecord, upstreams: Arc<UpstreamController>, now: Instant) -> Self {
+        let mut table = MemberTable::default();
+        table.merge(&own, now);
+        Self {
+            table: Mutex::new(table),
+            own,
+            upstreams,
+        }
+    }
+
+    /// Puts a version of the platform's list of a service in force.
+    pub fn apply_list(
+        &self,
+        service: &SmolStr,
+        version: u64,
+        instances: &[InstanceInfo],
+        now: Instant,
+    ) {
+        let mut table = self.table.lock();
+        let change = table.apply_list(service, version, instances);
+        self.publish(&table, service, change, None, now);
+    }
+
+    /// Records a response of another daemon.
+    pub fn observe(&self, observation: &PeerObservation) {
+        let mut table = self.table.lock();
+        let change = table.observe(observation);
+        let peer = observation.info.peer;
+        let now = observation.received;
+        self.publish(&table, &observation.service, change, Some(peer), now);
+    }
+
+    /// Joins records of another daemon.
+    pub fn merge(&self, records: &[MemberRecord], now: Instant) {
+        let mut table = self.table.lock();
+        for record in records {
+            let change = table.merge(record, now);
+            let peer = record.info.peer;
+            self.publish(&table, &record.service, change, Some(peer), now);
+        }
+    }
+
+    /// Records that the own daemon leaves.
+    pub fn leave(&self, now: Instant) {
+        let record = MemberRecord {
+            phase: MemberPhase::Leaving,
+            ..self.own.clone()
+        };
+        self.table.lock().merge(&record, now);
+    }
+
+    /// Records the end of a pause of the own daemon.
+    pub fn forgive_pause(&self, now: Instant) {
+        self.table.lock().forgive_pause(now);
+        self.upstreams.forgive_pause(now);
+    }
+
+    /// Returns the hash of all records.
+    pub fn digest(&self) -> u64 {
+        self.table.lock().digest()
+    }
+
+    /// Returns the records for a daemon whose table has `digest`; empty when the tables agree.
+    pub fn delta(&self, digest: u64) -> Vec<MemberRecord> {
+        let table = self.table.lock();
+        if table.digest() == digest {
+            return Vec::new();
+        }
+        table.records()
+    }
+
+    /// Publishes again what depends on the time alone.
+    pub fn tick(&self, service: &str, now: Instant) {
+        let table = self.table.lock();
+        self.publish(&table, service, MemberChange::Phase, None, now);
+    }
+
+    fn publish(
+        &self,
+        table: &MemberTable,
+        service: &str,
+        change: MemberChange,
+        peer: Option<SocketAddr>,
+        now: Instant,
+    ) {
+        if change == MemberChange::None || !self.upstreams.knows(service) {
+            return;
+        }
+        let members: Vec<_> = table
+            .members(service, now)
+            .into_iter()
+            .map(|view| view.info)
+            .collect();
+        let restarted = peer.filter(|_| change == MemberChange::Restart);
+        self.upstreams
+            .apply_members(service, &members, restarted, now);
+    }
+}
--- a/src/controller/profile_controller.rs
+++ b/src/controller/profile_controller.rs
@@ -87,14 +87,14 @@
     }
 }
 
-/// Reads the list of instances of a service.
+/// Reads the list of instances of a service and its version.
 pub async fn read_instances(
     platform: &PlatformClient,
     service: &str,
-) -> Result<Vec<InstanceInfo>, ApplyError> {
+) -> Result<(u64, Vec<InstanceInfo>), ApplyError> {
     let key = format!("instances/{service}");
-    let (_, list): (_, InstanceList) = read(platform, &key).await?;
-    Ok(list.instances)
+    let (version, list): (_, InstanceList) = read(platform, &key).await?;
+    Ok((version, list.instances))
 }
 
 async fn read<T: serde::de::DeserializeOwned>(
--- a/src/controller/upstream_controller.rs
+++ b/src/controller/upstream_controller.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::routing::upstream_set::{AttemptResult, InstanceInfo, UpstreamKey, UpstreamSet},
+    decision::routing::{
+        routing_config::RoutingConfig,
+        upstream_set::{AttemptResult, InstanceInfo, UpstreamKey, UpstreamSet},
+    },
 };
 
 /// One set of upstreams for each called service, each under its own lock.
@@ -36,6 +39,69 @@
         }
     }
 
+    /// Replaces the members of a set by what all sources of membership say together. An upstream
+    /// that was leaving and is live again, or whose peer address is `restarted`, starts cold.
+    pub fn apply_members(
+        &self,
+        service: &str,
+        members: &[InstanceInfo],
+        restarted: Option<SocketAddr>,
+        now: Instant,
+    ) {
+        let Some(set) = self.sets.get(service) else {
+            return;
+        };
+        let mut set = set.lock();
+        set.update(members, now);
+        for info in members.iter().filter(|info| !info.leaving) {
+            let Some(key) = set.find(info.peer) else {
+                continue;
+            };
+            if set.is_leaving(key) || restarted == Some(info.peer) {
+                set.mark_restarted(key, now);
+            }
+        }
+    }
+
+    /// Puts new parameters of a service in force.
+    pub fn set_config(&self, service: &str, config: RoutingConfig) {
+        if let Some(set) = self.sets.get(service) {
+            set.lock().set_config(config);
+        }
+    }
+
+    /// Drops what a pause of the own daemon has made stale.
+    pub fn forgive_pause(&self, now: Instant) {
+        self.sets
+            .values()
+            .for_each(|set| set.lock().forgive_pause(now));
+    }
+
+    /// Returns the attempts in flight at an upstream.
+    pub fn in_flight(&self, service: &str, key: UpstreamKey) -> u32 {
+        self.sets
+            .get(service)
+            .map_or(0, |set| set.lock().in_flight(key))
+    }
+
+    /// Returns whether no instance of a service is known.
+    pub fn is_empty(&self, service: &str) -> bool {
+        self.sets
+            .get(service)
+            .is_none_or(|set| set.lock().is_empty())
+    }
+
+    /// Returns the services and instances that get no calls because they are leaving.
+    pub fn leaving(&self) -> Vec<(SmolStr, InstanceInfo)> {
+        self.sets
+            .iter()
+            .flat_map(|(service, set)| {
+                let leaving = set.lock().leaving();
+                leaving.into_iter().map(|info| (service.clone(), info))
+            })
+            .collect()
+    }
+
     /// Chooses an upstream that was not tried yet.
     pub fn choose(
         &self,
--- a/src/decision/membership/member_table.rs
+++ b/src/decision/membership/member_table.rs
@@ -64,6 +64,7 @@
     runs: IndexMap<MemberKey, BTreeMap<Incarnation, RunState>>,
     lists: IndexMap<SmolStr, InstanceList>,
     contacts: ContactLog,
+    resumed: Option<Instant>,
     records: usize,
 }
 
@@ -144,6 +145,11 @@
         MemberChange::Phase
     }
 
+    /// Records the end of a pause of the own daemon, which does not make others silent.
+    pub fn forgive_pause(&mut self, now: Instant) {
+        self.resumed = Some(now);
+    }
+
     /// Returns all records, in an order that depends on their content only.
     pub fn records(&self) -> Vec<MemberRecord> {
         let mut records: Vec<_> = self
@@ -233,7 +239,8 @@
 
     fn is_recent(&self, incarnation: Incarnation, run: &RunState, now: Instant) -> bool {
         let contact = self.contacts.last_contact(run.info.peer, incarnation);
-        let heard = contact.map_or(run.learnt, |contact| contact.max(run.learnt));
+        let heard = contact.max(self.resumed).max(Some(run.learnt));
+        let heard = heard.unwrap_or(run.learnt);
         now.saturating_duration_since(heard) < UNLISTED_TIME
     }
 
--- a/src/decision/routing/upstream_set.rs
+++ b/src/decision/routing/upstream_set.rs
@@ -158,6 +158,29 @@
         }
     }
 
+    /// Returns whether an upstream is leaving.
+    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
+        self.upstreams
+            .get(key)
+            .is_some_and(|state| state.is_leaving)
+    }
+
+    /// Returns the upstreams that are leaving.
+    pub fn leaving(&self) -> Vec<InstanceInfo> {
+        let leaving = self.upstreams.values().filter(|state| state.is_leaving);
+        leaving.map(|state| state.info.clone()).collect()
+    }
+
+    /// Returns the attempts in flight at an upstream.
+    pub fn in_flight(&self, key: UpstreamKey) -> u32 {
+        self.upstreams.get(key).map_or(0, |state| state.in_flight)
+    }
+
+    /// Returns whether the set has no members.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
     /// Records that a new incarnation serves at the address of an upstream; it starts cold.
     pub fn mark_restarted(&mut self, key: UpstreamKey, now: Instant) {
         if let Some(state) = self.upstreams.get_mut(key) {
--- a/src/filter/backend_handler.rs
+++ b/src/filter/backend_handler.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::{admission::admission_gate::WorkResult, run_outcome::RunOutcome},
+    decision::{
+        admission::admission_gate::WorkResult, lifecycle::lifecycle_phase::DrainCause,
+        run_outcome::RunOutcome,
+    },
     filter::{
         admission_filter::PermitState, identify_filter::CallState, refusal::RefusalError,
         request_headers, response_body::TrackedBody,
@@ -83,6 +86,15 @@
             }
             Ok(response) => {
                 let (mut parts, body) = response.into_parts();
+                if parts
+                    .headers
+                    .get(header_names::DRAIN)
+                    .is_some_and(|value| value == "1")
+                {
+                    self.daemon
+                        .lifecycle
+                        .request_drain(DrainCause::BackendServer);
+                }
                 request_headers::strip_hop_by_hop(&mut parts.headers);
                 request_headers::strip(&mut parts.headers);
                 request_headers::insert(&mut parts.headers, header_names::OUTCOME, outcome);
--- a/src/filter/inbound_chain.rs
+++ b/src/filter/inbound_chain.rs
@@ -3,11 +3,13 @@
 use crate::{
     common::*,
     filter::{
+        accept_filter::AcceptFilter,
         admission_filter::AdmissionFilter,
         backend_handler::BackendHandler,
         classify_filter::ClassifyFilter,
         identify_filter::{IdentifyFilter, RequestOrigin},
         ledger_filter::LedgerFilter,
+        lifecycle_filter::LifecycleFilter,
     },
     shell::daemon::DaemonState,
 };
@@ -37,6 +39,10 @@
 pub fn inbound_chain(daemon: &Arc<DaemonState>, origin: RequestOrigin) -> Router {
     let (chain, pipelines) = single_pipeline(
         new_pipeline()
+            .add(LifecycleFilter {
+                daemon: Arc::clone(daemon),
+                origin,
+            })
             .add(IdentifyFilter {
                 daemon: Arc::clone(daemon),
                 origin,
@@ -44,6 +50,9 @@
             .add(ClassifyFilter {
                 daemon: Arc::clone(daemon),
             })
+            .add(AcceptFilter {
+                daemon: Arc::clone(daemon),
+            })
             .add(LedgerFilter {
                 daemon: Arc::clone(daemon),
             })
--- /dev/null
+++ b/src/filter/lifecycle_filter.rs
@@ -0,0 +1,52 @@
+//! Outermost filter: tells peers and callers the phase of the daemon on each response.
+
+use crate::{
+    common::*,
+    decision::lifecycle::lifecycle_phase::LifecyclePhase,
+    filter::{identify_filter::RequestOrigin, request_headers},
+    shell::{daemon::DaemonState, header_names},
+};
+use futures_util::FutureExt;
+use gotham::{
+    handler::HandlerFuture,
+    middleware::{Middleware, NewMiddleware},
+    state::State,
+};
+use http::{HeaderValue, header};
+use std::pin::Pin;
+
+/// Writes the incarnation, and during a drain the leaving mark, on responses to peers. During a
+/// drain all connections are told to close.
+#[derive(Clone, NewMiddleware)]
+pub struct LifecycleFilter {
+    /// State of the daemon.
+    pub daemon: Arc<DaemonState>,
+    /// Who sends the requests.
+    pub origin: RequestOrigin,
+}
+
+impl Middleware for LifecycleFilter {
+    fn call<Chain>(self, state: State, chain: Chain) -> Pin<Box<HandlerFuture>>
+    where
+        Chain: FnOnce(State) -> Pin<Box<HandlerFuture>> + Send + 'static,
+    {
+        async move {
+            let (state, mut response) = chain(state).await?;
+            let headers = response.headers_mut();
+            let lifecycle = &self.daemon.lifecycle;
+            let is_leaving = lifecycle.phase() >= LifecyclePhase::Draining;
+            if self.origin == RequestOrigin::Peer {
+                let incarnation = lifecycle.incarnation();
+                request_headers::insert(headers, header_names::INCARNATION, incarnation);
+                if is_leaving {
+                    request_headers::insert(headers, header_names::LEAVING, incarnation);
+                }
+            }
+            if is_leaving {
+                headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok((state, response))
+        }
+        .boxed()
+    }
+}
--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    controller::attempt_guard::AttemptGuard,
     decision::{
         profile::service_profile::ServiceProfile,
         request_context::{AttemptId, CallId, RequestContext, RequestId},
@@ -205,6 +206,12 @@
         let outgoing = self.attempt_request(call, info, attempt, slice, start);
         let sent = self.daemon.client.send(info.peer, outgoing);
         let left = deadline.saturating_duration_since(start);
+        let guard = AttemptGuard {
+            upstreams: Arc::clone(&self.daemon.upstreams),
+            clock: Arc::clone(&self.daemon.clock),
+            service: call.service.clone(),
+            key: Some(key),
+        };
         let result = match tokio::time::timeout(left, sent).await {
             Err(_) => Err(RefusalError::DeadlineAfter),
             Ok(Err(SendError::Connect { .. })) => {
@@ -213,6 +220,7 @@
             Ok(Err(SendError::Broken { .. })) => Err(RefusalError::Broken),
             Ok(Ok(response)) => Ok(response),
         };
+        guard.disarm();
         let latency = self.daemon.clock.now() - start;
         let outcome = match &result {
             Err(error) => error.outcome(),
@@ -242,6 +250,8 @@
         if response.headers().contains_key(header_names::LEAVING) {
             self.daemon.upstreams.mark_leaving(&call.service, key);
         }
+        self.daemon
+            .observe_peer(&call.service, info, response.headers(), start);
         let result = match outcome {
             RunOutcome::NotRun => AttemptResult::Refused,
             _ => AttemptResult::Answered,
--- a/src/filter/refusal.rs
+++ b/src/filter/refusal.rs
@@ -21,6 +21,12 @@
     /// The chain of calls is too deep.
     #[error("The chain of calls is too deep.")]
     TooDeep,
+    /// The daemon does not serve yet.
+    #[error("The instance does not serve yet.")]
+    Starting,
+    /// The daemon drains.
+    #[error("The instance is leaving and takes no new requests.")]
+    Draining,
     /// No profile is in force yet.
     #[error("No profile is in force for the service `{0}` yet.")]
     NoProfile(SmolStr),
@@ -71,6 +77,8 @@
             Self::BadHeader(_) => "bad-header",
             Self::WrongCluster => "wrong-cluster",
             Self::TooDeep => "too-deep",
+            Self::Starting => "starting",
+            Self::Draining => "draining",
             Self::NoProfile(_) => "no-profile",
             Self::UnknownService(_) => "unknown-service",
             Self::Shed(reason) => reason.as_str(),
@@ -88,9 +96,11 @@
             Self::UnknownService(_) => StatusCode::NOT_FOUND,
             Self::DeadlineBefore | Self::DeadlineAfter => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
-            Self::NoProfile(_) | Self::Shed(_) | Self::NoUpstream(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting
+            | Self::Draining
+            | Self::NoProfile(_)
+            | Self::Shed(_)
+            | Self::NoUpstream(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,11 +35,19 @@
     /// Services that the backend server calls.
     #[serde(default)]
     pub calls: Vec<SmolStr>,
+    /// Time in milliseconds for which a draining daemon accepts connections and refuses their
+    /// requests. Idle connections of other daemons end after 4 s; a shorter time can break them.
+    #[serde(default = "default_refusal_ms")]
+    pub refusal_ms: u64,
     /// File for spans as OTLP JSON lines.
     #[serde(default)]
     pub trace_file: Option<PathBuf>,
 }
 
+fn default_refusal_ms() -> u64 {
+    5_000
+}
+
 /// Settings cannot be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -2,8 +2,11 @@
 
 pub mod admin_server;
 pub mod daemon;
+mod daemon_lifecycle;
 pub mod header_names;
 pub mod http_client;
 pub mod http_server;
+mod lifecycle_routes;
+mod peer_probe;
 pub mod platform_client;
 pub mod span_recorder;
--- a/src/shell/admin_server.rs
+++ b/src/shell/admin_server.rs
@@ -1,6 +1,10 @@
 //! Listener for operators.
 
-use crate::{common::*, controller::gate_controller::GateLoad, shell::daemon::DaemonState};
+use crate::{
+    common::*,
+    controller::gate_controller::GateLoad,
+    shell::{daemon::DaemonState, lifecycle_routes},
+};
 use futures_util::FutureExt;
 use gotham::{
     handler::{Handler, HandlerFuture, NewHandler},
@@ -70,10 +74,11 @@
         route.get("/status").to_new_handler(StatusHandler {
             daemon: Arc::clone(daemon),
         });
+        lifecycle_routes::add(route, daemon);
     })
 }
 
-fn json_response(value: &impl Serialize) -> Response<Body> {
+pub(super) fn json_response(value: &impl Serialize) -> Response<Body> {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
     let body = Body::new(Full::from(bytes).map_err(|never| match never {}));
     let mut response = Response::new(body);
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -5,23 +5,33 @@
     controller::{
         call_ledgers::CallLedgers,
         gate_controller::GateController,
+        lifecycle_controller::LifecycleController,
+        membership_controller::MembershipController,
         profile_controller::{self, ApplyError, ProfileController},
         upstream_controller::UpstreamController,
     },
     decision::{
         clock::{Clock, SystemClock},
+        lifecycle::lifecycle_state::Lifecycle,
+        membership::{
+            incarnation::Incarnation,
+            member_phase::MemberPhase,
+            member_record::{MemberRecord, PeerObservation},
+        },
         profile::service_profile::AdmissionLimits,
+        routing::upstream_set::InstanceInfo,
     },
     filter::{
         identify_filter::RequestOrigin, inbound_chain::inbound_chain,
-        outbound_handler::OutboundHandler,
+        outbound_handler::OutboundHandler, request_headers,
     },
     settings::DaemonSettings,
     shell::{
-        admin_server, http_client::HttpClient, http_server, platform_client::PlatformClient,
-        span_recorder::SpanRecorder,
+        admin_server, daemon_lifecycle, header_names, http_client::HttpClient, http_server,
+        peer_probe, platform_client::PlatformClient, span_recorder::SpanRecorder,
     },
 };
+use http::HeaderMap;
 use std::{io, panic::RefUnwindSafe};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 
@@ -47,7 +57,11 @@
     /// Ledgers of the calls in flight.
     pub ledgers: CallLedgers,
     /// Upstreams of the called services.
-    pub upstreams: UpstreamController,
+    pub upstreams: Arc<UpstreamController>,
+    /// Members of all services.
+    pub members: MembershipController,
+    /// Life cycle of the own daemon.
+    pub lifecycle: LifecycleController,
     /// HTTP client.
     pub client: HttpClient,
     /// Trace spans.
@@ -85,16 +99,21 @@
             }
             None => SpanRecorder::disabled(),
         };
+        let upstreams = Arc::new(UpstreamController::new(
+            &settings.data_centre,
+            &settings.calls,
+            rand::random(),
+        ));
+        let incarnation = Incarnation(rand::random());
+        let own = own_record(&settings, incarnation);
         Ok(Self {
+            members: MembershipController::new(own, Arc::clone(&upstreams), clock.now()),
+            lifecycle: LifecycleController::new(incarnation),
             gate: Arc::new(GateController::new(
                 AdmissionLimits::default(),
                 Arc::clone(&clock),
             )),
-            upstreams: UpstreamController::new(
-                &settings.data_centre,
-                &settings.calls,
-                rand::random(),
-            ),
+            upstreams,
             profiles: ProfileController::default(),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
@@ -104,6 +123,42 @@
         })
     }
 
+    /// Records what the response of a peer says about its incarnation.
+    pub fn observe_peer(
+        &self,
+        service: &SmolStr,
+        info: &InstanceInfo,
+        headers: &HeaderMap,
+        sent: Instant,
+    ) {
+        let leaving = request_headers::parse(headers, &header_names::LEAVING);
+        let leaving: Option<Incarnation> = leaving.unwrap_or_default();
+        let incarnation = request_headers::parse(headers, &header_names::INCARNATION);
+        let Some(incarnation) = leaving.or(incarnation.unwrap_or_default()) else {
+            return;
+        };
+        self.members.observe(&PeerObservation {
+            service: service.clone(),
+            info: info.clone(),
+            incarnation,
+            is_leaving: leaving.is_some(),
+            sent,
+            received: self.clock.now(),
+        });
+    }
+
+    /// Drops the views that a pause of this process has made stale.
+    pub(super) fn drop_stale_views(&self, now: Instant) {
+        self.members.forgive_pause(now);
+        // The gate refuses expired requests before it starts any.
+        self.gate.tick();
+    }
+
+    pub(super) fn is_configured(&self) -> bool {
+        let mut calls = self.settings.calls.iter();
+        calls.all(|call| self.profiles.get(call).is_some() && !self.upstreams.is_empty(call))
+    }
+
     async fn refresh(&self, platform: &PlatformClient) -> Result<(), ApplyError> {
         let own = &self.settings.service;
         self.profiles.refresh(platform, own).await?;
@@ -112,14 +167,31 @@
         }
         for service in &self.settings.calls {
             self.profiles.refresh(platform, service).await?;
-            let members = profile_controller::read_instances(platform, service).await?;
-            self.upstreams.update(service, &members, self.clock.now());
+            let (version, members) = profile_controller::read_instances(platform, service).await?;
+            self.members
+                .apply_list(service, version, &members, self.clock.now());
         }
         Ok(())
     }
 }
 
-/// Runs a daemon until `stop` turns true and all requests in flight are answered.
+fn own_record(settings: &DaemonSettings, incarnation: Incarnation) -> MemberRecord {
+    MemberRecord {
+        service: settings.service.clone(),
+        info: InstanceInfo {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            peer: settings.peer,
+            control: settings.control,
+            leaving: false,
+        },
+        incarnation,
+        phase: MemberPhase::Live,
+    }
+}
+
+/// Runs a daemon until it is asked to drain, by `stop` or otherwise, and all requests that it
+/// accepted are answered or past their deadline.
 pub async fn run(settings: DaemonSettings, stop: watch::Receiver<bool>) -> Result<(), DaemonError> {
     let daemon = Arc::new(DaemonState::new(settings)?);
     let settings = &daemon.settings;
@@ -130,11 +202,9 @@
     let mut background = JoinSet::new();
     background.spawn(follow_platform(Arc::clone(&daemon)));
     background.spawn(tick(Arc::clone(&daemon)));
-    log::info!(
-        "daemon: Serving {} as {}.",
-        settings.service,
-        settings.instance
-    );
+    background.spawn(daemon_lifecycle::detect_pauses(Arc::clone(&daemon)));
+    background.spawn(peer_probe::run(Arc::clone(&daemon)));
+    background.spawn(daemon_lifecycle::drain_on_stop(Arc::clone(&daemon), stop));
     let inner_stop = watch::Sender::new(false);
     let mut inner = JoinSet::new();
     let handler = OutboundHandler {
@@ -150,17 +220,26 @@
         admin_server::router(&daemon),
         inner_stop.subscribe(),
     ));
+    let inbound_stop = watch::Sender::new(false);
+    let mut inbound = JoinSet::new();
+    for (listener, origin) in [(edge, RequestOrigin::Edge), (peer, RequestOrigin::Peer)] {
+        let chain = inbound_chain(&daemon, origin);
+        inbound.spawn(http_server::serve(
+            listener,
+            chain,
+            inbound_stop.subscribe(),
+        ));
+    }
+    let lifecycle = Lifecycle::new(daemon.lifecycle.incarnation());
+    let draining = daemon_lifecycle::serve_until_drain(&daemon, lifecycle).await;
+    let refuses_until = draining.refuses_until(Duration::from_millis(settings.refusal_ms));
+    tokio::time::sleep_until(refuses_until.into()).await;
+    inbound_stop.send_replace(true);
+    daemon_lifecycle::finish_accepted(&daemon, &mut inbound).await;
     // The outbound listener outlives the inbound ones, since requests in flight need it.
-    tokio::join!(
-        http_server::serve(
-            edge,
-            inbound_chain(&daemon, RequestOrigin::Edge),
-            stop.clone()
-        ),
-        http_server::serve(peer, inbound_chain(&daemon, RequestOrigin::Peer), stop),
-    );
     inner_stop.send_replace(true);
-    while inner.join_next().await.is_some() {}
+    daemon_lifecycle::finish_accepted(&daemon, &mut inner).await;
+    daemon.lifecycle.enter(&draining.stop());
     log::info!("daemon: Stopped.");
     Ok(())
 }
--- a/src/shell/header_names.rs
+++ b/src/shell/header_names.rs
@@ -41,3 +41,7 @@
 pub const THRESHOLD: HeaderName = HeaderName::from_static("skylark-threshold");
 /// Incarnation of a daemon that is draining.
 pub const LEAVING: HeaderName = HeaderName::from_static("skylark-leaving");
+/// Incarnation of the daemon that responds.
+pub const INCARNATION: HeaderName = HeaderName::from_static("skylark-incarnation");
+/// Set to `1` by a backend server that drains.
+pub const DRAIN: HeaderName = HeaderName::from_static("skylark-drain");
--- a/src/shell/http_client.rs
+++ b/src/shell/http_client.rs
@@ -35,6 +35,10 @@
 /// Longest time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time that a connection stays idle before it is given up. It is shorter than the default
+/// refusal time of a drain, so that no idle connection is left when a daemon closes.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
 impl HttpClient {
     /// Creates a client with an empty pool.
     pub fn new() -> Self {
@@ -45,6 +49,7 @@
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
             .set_host(false)
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .build(connector);
         Self { client }
     }
--- /dev/null
+++ b/src/shell/peer_probe.rs
@@ -0,0 +1,53 @@
+//! Regular work of membership: expiry, and probes of instances that get no calls.
+
+use crate::{
+    common::*,
+    decision::routing::upstream_set::InstanceInfo,
+    shell::{daemon::DaemonState, header_names},
+};
+use futures_util::future;
+use gotham::helpers::http::Body;
+use http::{HeaderValue, Request};
+
+/// Interval of the probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for the response to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Most probes at once.
+const MAX_PROBES: usize = 16;
+
+/// Drops expired members and asks instances that have left for their incarnation, so that a restart at the same address is
+/// met even if no other daemon tells of it.
+pub(super) async fn run(daemon: Arc<DaemonState>) {
+    let mut interval = tokio::time::interval(PROBE_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = daemon.clock.now();
+        for service in &daemon.settings.calls {
+            daemon.members.tick(service, now);
+        }
+        let leaving = daemon.upstreams.leaving();
+        let probes = leaving.iter().take(MAX_PROBES);
+        future::join_all(probes.map(|(service, info)| probe(&daemon, service, info))).await;
+    }
+}
+
+/// Sends a request without context, which the peer refuses and which is therefore never run.
+async fn probe(daemon: &DaemonState, service: &SmolStr, info: &InstanceInfo) {
+    let mut request = Request::new(Body::default());
+    let Ok(uri) = format!("http://{}/", info.peer).parse() else {
+        return;
+    };
+    *request.uri_mut() = uri;
+    if let Ok(cluster) = HeaderValue::from_str(&daemon.settings.cluster) {
+        request.headers_mut().insert(header_names::CLUSTER, cluster);
+    }
+    let sent = daemon.clock.now();
+    let response = daemon.client.send(info.peer, request);
+    if let Ok(Ok(response)) = tokio::time::timeout(PROBE_TIMEOUT, response).await {
+        daemon.observe_peer(service, info, response.headers(), sent);
+    }
+}
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform and for backend servers, used by the demo and the tests.
 
 pub mod backend_server;
+pub mod loopback_address;
 pub mod platform_service;
 pub mod service_chain;
--- a/src/standin/service_chain.rs
+++ b/src/standin/service_chain.rs
@@ -9,6 +9,7 @@
     },
     standin::{
         backend_server::{BackendBehaviour, BackendServer},
+        loopback_address,
         platform_service::PlatformService,
     },
 };
@@ -24,6 +25,7 @@
     profiles: Vec<(SmolStr, String)>,
     services: Vec<ServicePlan>,
     trace_file: Option<PathBuf>,
+    refusal_ms: u64,
 }
 
 #[derive(Debug)]
@@ -85,6 +87,12 @@
         self
     }
 
+    /// Sets the refusal time of all daemons; it is zero by default, so that a chain stops fast.
+    pub fn refusal_ms(mut self, refusal_ms: u64) -> Self {
+        self.refusal_ms = refusal_ms;
+        self
+    }
+
     /// Starts the chain and waits until each daemon has a profile in force.
     pub async fn start(self) -> io::Result<ServiceChain> {
         let stop = watch::Sender::new(false);
@@ -96,7 +104,7 @@
         for (name, text) in &self.profiles {
             platform.publish(&format!("profiles/{name}"), text);
         }
-        let plans = self.instance_plans(platform_address).await?;
+        let plans = self.instance_plans(platform_address)?;
         publish_services(&platform, &self.services, &plans);
         let mut instances = Vec::new();
         for (settings, behaviour) in plans {
@@ -111,15 +119,16 @@
         Ok(chain)
     }
 
-    async fn instance_plans(
+    fn instance_plans(
         &self,
         platform: SocketAddr,
     ) -> io::Result<Vec<(DaemonSettings, BackendBehaviour)>> {
         let mut plans = Vec::new();
         for plan in &self.services {
             for index in 1..=plan.instances {
-                let mut settings = instance_settings(plan, index, platform).await?;
+                let mut settings = instance_settings(plan, index, platform)?;
                 settings.trace_file = self.trace_file.clone();
+                settings.refusal_ms = self.refusal_ms;
                 plans.push((settings, plan.behaviour.clone()));
             }
         }
@@ -209,7 +218,7 @@
     )
 }
 
-async fn instance_settings(
+fn instance_settings(
     plan: &ServicePlan,
     index: usize,
     platform: SocketAddr,
@@ -220,23 +229,20 @@
         data_centre: "dc-1".into(),
         instance: format!("{}-{index}", plan.name).into(),
         service: plan.name.clone(),
-        backend: free_address().await?,
-        edge: free_address().await?,
-        peer: free_address().await?,
-        outbound: free_address().await?,
-        control: free_address().await?,
-        admin: free_address().await?,
+        backend: loopback_address::reserve()?,
+        edge: loopback_address::reserve()?,
+        peer: loopback_address::reserve()?,
+        outbound: loopback_address::reserve()?,
+        control: loopback_address::reserve()?,
+        admin: loopback_address::reserve()?,
         platform,
         seed_peers: Vec::new(),
         calls: calls.map(|call| call.service.clone()).collect(),
         trace_file: None,
+        refusal_ms: 0,
     })
 }
 
 async fn loopback_listener() -> io::Result<TcpListener> {
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
 }
-
-async fn free_address() -> io::Result<SocketAddr> {
-    loopback_listener().await?.local_addr()
-}
