--- a/src/controller/membership_controller.rs
+++ b/src/controller/membership_controller.rs
@@ -5,6 +5,7 @@
     controller::upstream_controller::UpstreamController,
     decision::{
         membership::{
+            member_digest::MemberDigest,
             member_phase::MemberPhase,
             member_record::{MemberRecord, PeerObservation},
             member_table::{MemberChange, MemberTable},
@@ -80,18 +81,14 @@
         self.upstreams.forgive_pause(now);
     }
 
-    /// Returns the hash of all records.
-    pub fn digest(&self) -> u64 {
+    /// Returns the digest of all records.
+    pub fn digest(&self) -> MemberDigest {
         self.table.lock().digest()
     }
 
     /// Returns the records for a daemon whose table has `digest`; empty when the tables agree.
-    pub fn delta(&self, digest: u64) -> Vec<MemberRecord> {
-        let table = self.table.lock();
-        if table.digest() == digest {
-            return Vec::new();
-        }
-        table.records()
+    pub fn delta(&self, digest: &MemberDigest) -> Vec<MemberRecord> {
+        self.table.lock().delta(digest)
     }
 
     /// Publishes again what depends on the time alone.
--- a/src/decision/membership.rs
+++ b/src/decision/membership.rs
@@ -2,6 +2,7 @@
 
 pub mod contact_log;
 pub mod incarnation;
+pub mod member_digest;
 pub mod member_phase;
 pub mod member_record;
 pub mod member_table;
--- a/src/decision/membership/member_table.rs
+++ b/src/decision/membership/member_table.rs
@@ -6,6 +6,7 @@
         membership::{
             contact_log::ContactLog,
             incarnation::Incarnation,
+            member_digest::MemberDigest,
             member_phase::MemberPhase,
             member_record::{MemberKey, MemberRecord, PeerObservation},
         },
@@ -13,7 +14,6 @@
     },
 };
 use std::collections::BTreeMap;
-use xxhash_rust::xxh3::Xxh3;
 
 /// Most records of a table; the oldest record of an incarnation that has left makes room.
 const MAX_RECORDS: usize = 8_192;
@@ -170,24 +170,17 @@
         records
     }
 
-    /// Returns a hash of all records; equal tables have equal digests.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        for record in self.records() {
-            let info = &record.info;
-            let line = format!(
-                "{}\n{}\n{}\n{}\n{}\n{}\n{}\n",
-                record.service,
-                info.instance,
-                info.data_centre,
-                info.peer,
-                info.control,
-                record.incarnation,
-                record.phase as u8
-            );
-            hasher.update(line.as_bytes());
-        }
-        hasher.digest()
+    /// Returns the digest of all records; equal tables have equal digests.
+    pub fn digest(&self) -> MemberDigest {
+        MemberDigest::new(&self.records())
+    }
+
+    /// Returns the records that a table with the digest `other` may lack.
+    pub fn delta(&self, other: &MemberDigest) -> Vec<MemberRecord> {
+        let mut records = self.records();
+        let own = MemberDigest::new(&records);
+        records.retain(|record| own.differs(other, &record.key()));
+        records
     }
 
     /// Returns the instances of a service.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Settings of one daemon, read from a TOML file at start.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
     /// Name of the cluster; daemons of other clusters are refused.
--- a/src/standin/backend_server.rs
+++ b/src/standin/backend_server.rs
@@ -10,12 +10,12 @@
     helpers::http::Body,
     state::{FromState, State},
 };
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header::HOST};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header::HOST};
 use http_body_util::{BodyExt, Full};
 use std::{
     panic::RefUnwindSafe,
     pin::Pin,
-    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
 };
 use tokio::sync::Semaphore;
 
@@ -46,6 +46,7 @@
     client: HttpClient,
     slots: Semaphore,
     slowdown: AtomicU32,
+    is_draining: AtomicBool,
     runs: AtomicU64,
 }
 
@@ -67,6 +68,7 @@
                 outbound,
                 client: HttpClient::new(),
                 slowdown: AtomicU32::new(1),
+                is_draining: AtomicBool::new(false),
                 runs: AtomicU64::new(0),
             }),
         }
@@ -77,6 +79,11 @@
         self.state.slowdown.store(factor, Ordering::Relaxed);
     }
 
+    /// Announces on later responses that the backend server drains.
+    pub fn announce_drain(&self) {
+        self.state.is_draining.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the requests that were started so far.
     pub fn runs(&self) -> u64 {
         self.state.runs.load(Ordering::Relaxed)
@@ -149,6 +156,10 @@
             let body = Full::from(text).map_err(|never| match never {});
             let mut response = Response::new(Body::new(body));
             *response.status_mut() = status;
+            if self.state.is_draining.load(Ordering::Relaxed) {
+                let value = HeaderValue::from_static("1");
+                response.headers_mut().insert(header_names::DRAIN, value);
+            }
             Ok((state, response))
         }
         .boxed()
