Hold an upstream back only after several refusals in a row

One refusal kept an upstream out of the choice for 100 ms, although mostly requests of low priority are refused, so that important requests lost admitting upstreams.

An upstream now counts as not admitting after 5 refusals without an answer in between. The new unit test fails with a hold after one refusal: 200 of 1,000 calls spill.

--- a/src/decision/routing/routing_config.rs
+++ b/src/decision/routing/routing_config.rs
@@ -17,7 +17,9 @@
     pub max_eject_time: Duration,
     /// Largest ejected part of a set, in percent.
     pub max_ejected_percent: usize,
-    /// Time for which an upstream counts as not admitting after a refusal.
+    /// Refusals without an answer in between after which an upstream counts as not admitting.
+    pub hold_refusals: u32,
+    /// Time for which an upstream counts as not admitting after the last of these refusals.
     pub refusal_hold: Duration,
     /// Largest part of the calls that spills to other data centres, in percent.
     pub max_spill_percent: u64,
@@ -32,6 +34,7 @@
             eject_time: Duration::from_secs(1),
             max_eject_time: Duration::from_secs(30),
             max_ejected_percent: 30,
+            hold_refusals: 5,
             refusal_hold: Duration::from_millis(100),
             max_spill_percent: 20,
         }
--- a/src/decision/routing/upstream_state.rs
+++ b/src/decision/routing/upstream_state.rs
@@ -25,6 +25,7 @@
     pub(super) ejector: OutlierEjector,
     pub(super) hint: Option<LoadHint>,
     latency: LatencyAverage,
+    refusals: u32,
     refusing_until: Option<Instant>,
 }
 
@@ -38,6 +39,7 @@
             ejector: OutlierEjector::default(),
             hint: None,
             latency: LatencyAverage::default(),
+            refusals: 0,
             refusing_until: None,
         }
     }
@@ -46,7 +48,7 @@
         self.latency.seconds(now)
     }
 
-    /// Returns whether the upstream has not refused recently. After an outage it admits a single
+    /// Returns whether the upstream has not refused several requests in a row recently. After an outage it admits a single
     /// call until it answers, so that a repeated outage costs one failure and not many.
     pub(super) fn is_admitting(&self, now: Instant) -> bool {
         let is_refusing = self.refusing_until.is_some_and(|until| now < until);
@@ -73,11 +75,15 @@
         match result {
             AttemptResult::Answered => {
                 self.latency.record(latency, now);
-                self.refusing_until = None;
+                self.clear_refusals();
                 self.ejector.record_contact();
             }
             AttemptResult::Refused => {
-                self.refusing_until = Some(now + config.refusal_hold);
+                // A single refusal may concern requests of low priority only.
+                self.refusals += 1;
+                if self.refusals >= config.hold_refusals {
+                    self.refusing_until = Some(now + config.refusal_hold);
+                }
                 self.ejector.record_contact();
             }
             AttemptResult::Abandoned => {}
@@ -108,6 +114,11 @@
         self.latency.clear();
         self.ejector = OutlierEjector::default();
         self.hint = None;
+        self.clear_refusals();
+    }
+
+    fn clear_refusals(&mut self) {
+        self.refusals = 0;
         self.refusing_until = None;
     }
 }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -11,7 +11,7 @@
         },
     },
 };
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, sync::Arc, time::Duration};
 
 const LATENCY: Duration = Duration::from_millis(5);
 
@@ -114,6 +114,21 @@
     assert!((0.1..=0.2).contains(&share(&counts, 2)), "{counts:?}");
 }
 
+/// Guards against local upstreams that are passed over, also for important requests, because they
+/// refuse most requests of low priority.
+#[test]
+fn refusals_between_answers_do_not_spill() {
+    let calls = Cell::new(0);
+    let counts = Scenario::new("aab").run(1_000, |index| {
+        calls.set(calls.get() + 1);
+        match (index, calls.get() % 4) {
+            (2, _) | (_, 0) => answered(index),
+            _ => (AttemptResult::Refused, LATENCY / 50),
+        }
+    });
+    assert_eq!(counts.get(&2), None);
+}
+
 /// Guards against a bound on spill when the whole local data centre is down or leaving.
 #[test]
 fn spill_is_unbounded_without_a_live_local_upstream() {
