Tell sent from unsent requests in the HTTP client

The legacy client of hyper-util reports a broken connection alike whether or not bytes were sent. A pool over hyper::client::conn::http1 replaces it: a request that was never written comes back from the connection, and the stream counts the bytes that the operating system accepted. Dropping a request closes its connection, which cancels it at the receiver. The published refusal of a backend server counts as not run, and a passed deadline is 504 also at the gate.

tests/backend_outcomes.rs has a test for each failure between a daemon and its backend server.

--- a/src/decision/profile/service_profile.rs
+++ b/src/decision/profile/service_profile.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::{profile::route_rule::RouteRule, request_priority::LOWEST_CLASS},
+    decision::{
+        profile::{refusal_rule::RefusalRule, route_rule::RouteRule},
+        request_priority::LOWEST_CLASS,
+    },
 };
 
 /// Bounds on the work that a daemon admits to its backend server.
@@ -71,6 +74,25 @@
     /// Route rules; the first match counts.
     #[serde(default)]
     pub routes: Vec<RouteRule>,
+    /// Longest time without a received byte before a connection counts as silent, in milliseconds.
+    #[serde(default = "default_progress_ms")]
+    pub progress_ms: u32,
+    /// Time for which a ticket is valid, in milliseconds.
+    #[serde(default = "default_ticket_ms")]
+    pub ticket_ms: u32,
+    /// Published refusal of the backend server.
+    #[serde(default)]
+    pub refusal: Option<RefusalRule>,
+}
+
+/// Progress time of a profile that names none, in milliseconds.
+fn default_progress_ms() -> u32 {
+    1_000
+}
+
+/// Ticket validity of a profile that names none, in milliseconds.
+fn default_ticket_ms() -> u32 {
+    60_000
 }
 
 /// A profile cannot be used.
--- a/src/filter/backend_handler.rs
+++ b/src/filter/backend_handler.rs
@@ -2,12 +2,21 @@
 
 use crate::{
     common::*,
-    decision::{admission::admission_gate::WorkResult, run_outcome::RunOutcome},
+    decision::{
+        admission::admission_gate::WorkResult, request_context::RequestContext,
+        run_outcome::RunOutcome,
+    },
     filter::{
         admission_filter::PermitState, identify_filter::CallState, refusal::RefusalError,
         request_headers, response_body::TrackedBody,
     },
-    shell::{daemon::DaemonState, header_names, http_client::SendError, span_recorder::HopSpan},
+    shell::{
+        daemon::DaemonState,
+        header_names,
+        http_client::{SendError, SendOptions},
+        pooled_body::PooledBody,
+        span_recorder::HopSpan,
+    },
 };
 use futures_util::FutureExt;
 use gotham::{
@@ -50,22 +59,11 @@
         let start = self.daemon.clock.now();
         let started_at = SystemTime::now();
         let request = self.backend_request(state, start);
-        let left = context.deadline.saturating_duration_since(start);
-        let sent = self
-            .daemon
-            .client
-            .send(self.daemon.settings.backend, request);
-        let result = match tokio::time::timeout(left, sent).await {
-            Err(_) => Err(RefusalError::DeadlineAfter),
-            Ok(Err(SendError::Connect { .. })) => Err(RefusalError::NoUpstream(
-                self.daemon.settings.service.clone(),
-            )),
-            Ok(Err(SendError::Broken { .. })) => Err(RefusalError::Broken),
-            Ok(Ok(response)) => Ok(response),
+        let result = self.send(request, &context).await;
+        let outcome = match &result {
+            Ok(response) => self.response_outcome(response),
+            Err(error) => error.outcome(),
         };
-        let outcome = result
-            .as_ref()
-            .map_or_else(RefusalError::outcome, |_| RunOutcome::Ran);
         self.daemon.spans.record(HopSpan {
             request: context.request,
             span: context.call,
@@ -86,11 +84,11 @@
                 request_headers::strip_hop_by_hop(&mut parts.headers);
                 request_headers::strip(&mut parts.headers);
                 request_headers::insert(&mut parts.headers, header_names::OUTCOME, outcome);
-                let body = TrackedBody::wrap(body, move |is_complete| {
-                    permit.finish(if is_complete {
-                        WorkResult::Completed
-                    } else {
-                        WorkResult::Aborted
+                let body = TrackedBody::wrap(Body::new(body), move |is_complete| {
+                    permit.finish(match (is_complete, outcome) {
+                        (false, _) => WorkResult::Aborted,
+                        (true, RunOutcome::NotRun) => WorkResult::Refused,
+                        (true, _) => WorkResult::Completed,
                     });
                 });
                 Response::from_parts(parts, body)
@@ -98,6 +96,55 @@
         }
     }
 
+    async fn send(
+        &self,
+        request: Request<Body>,
+        context: &RequestContext,
+    ) -> Result<Response<PooledBody>, RefusalError> {
+        let clock = &self.daemon.clock;
+        if context.deadline <= clock.now() {
+            return Err(RefusalError::DeadlineBefore);
+        }
+        let stamp = |headers: &mut HeaderMap| {
+            request_headers::write_deadline(headers, context, clock.now());
+        };
+        let options = SendOptions {
+            stamp: Some(&stamp),
+            deadline: Some(context.deadline),
+            ..SendOptions::default()
+        };
+        let settings = &self.daemon.settings;
+        let client = &self.daemon.client;
+        let response = match client.send_with(settings.backend, request, options).await {
+            Ok(response) => response,
+            Err(SendError::NotSent { .. }) => {
+                return Err(RefusalError::NoUpstream(settings.service.clone()));
+            }
+            Err(SendError::Broken { .. }) => return Err(RefusalError::Broken),
+            Err(SendError::Deadline { .. }) => return Err(RefusalError::DeadlineAfter),
+        };
+        // A backend server that copies the request header to its response lets the daemon detect a
+        // response to an earlier request on the same connection.
+        let echo = response.headers().get(header_names::REQUEST);
+        let own = format!("{}-{}", context.request, context.call);
+        if echo.is_some_and(|value| value != own.as_str()) {
+            return Err(RefusalError::WrongAttempt);
+        }
+        Ok(response)
+    }
+
+    fn response_outcome(&self, response: &Response<PooledBody>) -> RunOutcome {
+        let in_force = self.daemon.profiles.get(&self.daemon.settings.service);
+        let rule = in_force
+            .as_ref()
+            .and_then(|entry| entry.profile.refusal.as_ref());
+        let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.into());
+        match rule {
+            Some(rule) if rule.matches(response.status().as_u16(), header) => RunOutcome::NotRun,
+            _ => RunOutcome::Ran,
+        }
+    }
+
     fn backend_request(&self, state: &mut State, now: Instant) -> Request<Body> {
         let context = state.borrow::<CallState>().0.clone();
         let mut request = Request::new(Body::take_from(state));
--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -16,7 +16,13 @@
         request_headers::{self, AttemptHeaders},
         response_body::TrackedBody,
     },
-    shell::{daemon::DaemonState, header_names, http_client::SendError, span_recorder::HopSpan},
+    shell::{
+        daemon::DaemonState,
+        header_names,
+        http_client::{SendError, SendOptions},
+        pooled_body::PooledBody,
+        span_recorder::HopSpan,
+    },
 };
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -28,7 +34,6 @@
 use http::{HeaderMap, Method, Request, Response, Uri, header, uri::PathAndQuery};
 use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use std::{pin::Pin, time::SystemTime};
 
 /// Largest body that is kept for a further attempt, in bytes.
@@ -203,15 +208,20 @@
         let start = self.daemon.clock.now();
         let started_at = SystemTime::now();
         let outgoing = self.attempt_request(call, info, attempt, slice, start);
-        let sent = self.daemon.client.send(info.peer, outgoing);
-        let left = deadline.saturating_duration_since(start);
-        let result = match tokio::time::timeout(left, sent).await {
-            Err(_) => Err(RefusalError::DeadlineAfter),
-            Ok(Err(SendError::Connect { .. })) => {
-                Err(RefusalError::NoUpstream(call.service.clone()))
-            }
-            Ok(Err(SendError::Broken { .. })) => Err(RefusalError::Broken),
-            Ok(Ok(response)) => Ok(response),
+        let options = SendOptions {
+            deadline: Some(deadline),
+            ..SendOptions::default()
+        };
+        let result = match self
+            .daemon
+            .client
+            .send_with(info.peer, outgoing, options)
+            .await
+        {
+            Ok(response) => Ok(response),
+            Err(SendError::NotSent { .. }) => Err(RefusalError::NoUpstream(call.service.clone())),
+            Err(SendError::Broken { .. }) => Err(RefusalError::Broken),
+            Err(SendError::Deadline { .. }) => Err(RefusalError::DeadlineAfter),
         };
         let latency = self.daemon.clock.now() - start;
         let outcome = match &result {
@@ -256,7 +266,7 @@
         &self,
         call: &OutgoingCall,
         key: UpstreamKey,
-        response: Response<Incoming>,
+        response: Response<PooledBody>,
         result: AttemptResult,
         latency: Duration,
     ) -> Response<Body> {
@@ -264,7 +274,7 @@
         request_headers::strip_hop_by_hop(&mut parts.headers);
         let daemon = Arc::clone(&self.daemon);
         let service = call.service.clone();
-        let body = TrackedBody::wrap(body, move |is_complete| {
+        let body = TrackedBody::wrap(Body::new(body), move |is_complete| {
             let result = if is_complete {
                 result
             } else {
@@ -323,7 +333,7 @@
         if !is_small {
             return Ok(Self::Streamed(Some(body)));
         }
-        let collected = body.collect().await.map_err(|_| RefusalError::Broken)?;
+        let collected = body.collect().await.map_err(|_| RefusalError::BodyCut)?;
         Ok(Self::Kept(collected.to_bytes()))
     }
 
--- a/src/filter/refusal.rs
+++ b/src/filter/refusal.rs
@@ -1,4 +1,4 @@
-//! Answers to requests that the daemon does not complete.
+//! Responses to requests that the daemon does not complete.
 
 use crate::{
     common::*,
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 
-/// Why a request has no answer of a backend server.
+/// Why a request has no response of a backend server.
 #[derive(Clone, Debug, Error, Eq, PartialEq)]
 pub enum RefusalError {
     /// A context header of a peer cannot be read.
@@ -34,14 +34,57 @@
     #[error("The deadline passed before the request was sent.")]
     DeadlineBefore,
     /// The deadline passed after the request may have been run.
-    #[error("The deadline passed before an answer arrived.")]
+    #[error("The deadline passed before a response arrived.")]
     DeadlineAfter,
     /// No upstream is left to try.
     #[error("No upstream of the service `{0}` can be reached.")]
     NoUpstream(SmolStr),
     /// The connection broke after the request may have been sent.
-    #[error("The connection broke before an answer arrived.")]
+    #[error("The connection broke before a response arrived.")]
     Broken,
+    /// The body of the request ended early, before anything was sent.
+    #[error("The body of the request ended early.")]
+    BodyCut,
+    /// The response belongs to another attempt.
+    #[error("The response belongs to another attempt.")]
+    WrongAttempt,
+    /// The allowance of extra attempts is spent.
+    #[error("The request has no extra attempts left.")]
+    AllowanceSpent,
+    /// The table of calls is full.
+    #[error("The daemon tracks too many calls.")]
+    LedgersFull,
+    /// The record of tickets or attempts is full.
+    #[error("The record of requests is full.")]
+    RecordFull,
+    /// The attempt was cancelled before it arrived.
+    #[error("The attempt was cancelled before it arrived.")]
+    Cancelled,
+    /// The request ran, and its response was too large to be kept.
+    #[error("The request ran, and its response is no longer available.")]
+    ResponseNotKept,
+    /// The route requires a ticket.
+    #[error("The route requires a ticket.")]
+    TicketRequired(SmolStr),
+    /// The ticket cannot be read or was not issued by the instance that it names.
+    #[error("The ticket is not valid.")]
+    TicketInvalid,
+    /// The ticket was used for another request.
+    #[error("The ticket was used for another request.")]
+    TicketMismatch,
+    /// The ticket expired, so that its record may be gone.
+    #[error("The ticket expired.")]
+    TicketExpired,
+    /// The ticket was issued by an earlier incarnation of the executor.
+    #[error("The executor of the ticket has restarted.")]
+    ExecutorRestarted,
+    /// The executor of the ticket is not in view or cannot be reached.
+    #[error("The executor of the ticket cannot be reached.")]
+    ExecutorAway,
+    /// A request with a ticket was refused away from the record of its executor, so that an
+    /// earlier attempt may have run.
+    #[error("{0} An earlier attempt with the ticket may have run.")]
+    TicketUndecided(Box<RefusalError>),
 }
 
 /// Time to come back after an overload, in milliseconds, before it is spread.
@@ -60,7 +103,14 @@
     /// Returns what is known about the execution of the request.
     pub fn outcome(&self) -> RunOutcome {
         match self {
-            Self::DeadlineAfter | Self::Broken => RunOutcome::Unknown,
+            Self::DeadlineAfter
+            | Self::Broken
+            | Self::WrongAttempt
+            | Self::TicketExpired
+            | Self::ExecutorRestarted
+            | Self::ExecutorAway
+            | Self::TicketUndecided(_) => RunOutcome::Unknown,
+            Self::ResponseNotKept => RunOutcome::Ran,
             _ => RunOutcome::NotRun,
         }
     }
@@ -77,24 +127,60 @@
             Self::DeadlineBefore | Self::DeadlineAfter => "deadline",
             Self::NoUpstream(_) => "no-upstream",
             Self::Broken => "broken",
+            Self::BodyCut => "body-cut",
+            Self::WrongAttempt => "wrong-attempt",
+            Self::AllowanceSpent => "allowance-spent",
+            Self::LedgersFull => "ledgers-full",
+            Self::RecordFull => "record-full",
+            Self::Cancelled => "cancelled",
+            Self::ResponseNotKept => "response-not-kept",
+            Self::TicketRequired(_) => "ticket-required",
+            Self::TicketInvalid => "ticket-invalid",
+            Self::TicketMismatch => "ticket-mismatch",
+            Self::TicketExpired => "ticket-expired",
+            Self::ExecutorRestarted => "executor-restarted",
+            Self::ExecutorAway => "executor-away",
+            Self::TicketUndecided(error) => error.reason(),
         }
     }
 
     /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::BadHeader(_) | Self::WrongCluster => StatusCode::BAD_REQUEST,
+            Self::BadHeader(_) | Self::WrongCluster | Self::BodyCut | Self::TicketInvalid => {
+                StatusCode::BAD_REQUEST
+            }
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::UnknownService(_) => StatusCode::NOT_FOUND,
-            Self::DeadlineBefore | Self::DeadlineAfter => StatusCode::GATEWAY_TIMEOUT,
-            Self::Broken => StatusCode::BAD_GATEWAY,
-            Self::NoProfile(_) | Self::Shed(_) | Self::NoUpstream(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
+            Self::DeadlineBefore | Self::DeadlineAfter | Self::Shed(ShedReason::Deadline) => {
+                StatusCode::GATEWAY_TIMEOUT
             }
+            Self::Broken | Self::WrongAttempt | Self::ResponseNotKept => StatusCode::BAD_GATEWAY,
+            Self::Cancelled | Self::TicketExpired | Self::ExecutorRestarted => StatusCode::CONFLICT,
+            Self::TicketRequired(_) => StatusCode::PRECONDITION_REQUIRED,
+            Self::TicketMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::TicketUndecided(error) => error.status(),
+            Self::NoProfile(_)
+            | Self::Shed(_)
+            | Self::NoUpstream(_)
+            | Self::AllowanceSpent
+            | Self::LedgersFull
+            | Self::RecordFull
+            | Self::ExecutorAway => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
-    /// Builds the answer for the caller.
+    /// Returns the refusal for a request with or without a ticket. "Not run" holds for a ticket only
+    /// when its executor says so, since an earlier attempt may have run there.
+    pub fn with_ticket(self, has_ticket: bool) -> Self {
+        if has_ticket && self.outcome() == RunOutcome::NotRun {
+            Self::TicketUndecided(Box::new(self))
+        } else {
+            self
+        }
+    }
+
+    /// Builds the response for the caller.
     pub fn to_response(&self) -> Response<Body> {
         let retry_after_ms =
             (self.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER_MS);
@@ -121,6 +207,11 @@
             header_names::REASON,
             HeaderValue::from_static(self.reason()),
         );
+        if let Self::TicketRequired(ticket) = self
+            && let Ok(value) = HeaderValue::from_str(ticket)
+        {
+            headers.insert(header_names::TICKET, value);
+        }
         if let Some(ms) = retry_after_ms {
             headers.insert(header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1_000)));
         }
--- a/src/filter/request_headers.rs
+++ b/src/filter/request_headers.rs
@@ -96,6 +96,11 @@
         header_names::REQUEST,
         format_args!("{request}-{call}"),
     );
+    write_deadline(headers, context, now);
+}
+
+/// Writes the time that is left until the deadline.
+pub fn write_deadline(headers: &mut HeaderMap, context: &RequestContext, now: Instant) {
     let left = context.deadline.saturating_duration_since(now);
     insert(headers, header_names::DEADLINE_US, left.as_micros());
 }
@@ -129,8 +134,7 @@
     );
     insert(headers, header_names::ATTEMPT, id);
     insert(headers, header_names::PRIORITY, context.priority);
-    let left = context.deadline.saturating_duration_since(now);
-    insert(headers, header_names::DEADLINE_US, left.as_micros());
+    write_deadline(headers, context, now);
     let age = now.saturating_duration_since(context.entered);
     insert(headers, header_names::AGE_US, age.as_micros());
     insert(headers, header_names::ALLOWANCE, attempt.slice);
--- a/src/filter/response_body.rs
+++ b/src/filter/response_body.rs
@@ -1,27 +1,26 @@
-//! Body of an answer that keeps state alive until its end.
+//! Body of a response that keeps state alive until its end.
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body::{Body as HttpBody, Frame, SizeHint};
-use hyper::body::Incoming;
 use std::{
     io,
     pin::Pin,
     task::{Context, Poll},
 };
 
-/// Streams the body of an answer and calls a function once at its end.
+/// Streams the body of a response and calls a function once at its end.
 ///
 /// The function gets true when the body was complete, and false when it was cut short or the
 /// receiver went away.
 pub struct TrackedBody<F: FnOnce(bool) + Send + Unpin> {
-    inner: Incoming,
+    inner: Body,
     on_end: Option<F>,
 }
 
 impl<F: FnOnce(bool) + Send + Unpin + 'static> TrackedBody<F> {
     /// Wraps a body.
-    pub fn wrap(inner: Incoming, on_end: F) -> Body {
+    pub fn wrap(inner: Body, on_end: F) -> Body {
         let mut body = Self {
             inner,
             on_end: Some(on_end),
@@ -56,7 +55,7 @@
             Poll::Ready(Some(Ok(_))) if self.inner.is_end_stream() => self.end(true),
             _ => {}
         }
-        polled.map(|frame| frame.map(|frame| frame.map_err(io::Error::other)))
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- /dev/null
+++ b/src/shell/connection_pool.rs
@@ -0,0 +1,121 @@
+//! Idle HTTP/1.1 connections by address.
+
+use crate::{
+    common::*,
+    shell::progress_stream::{ConnectionProgress, ProgressStream},
+};
+use gotham::helpers::http::Body;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::io;
+use tokio::{net::TcpStream, task::AbortHandle};
+
+/// Longest time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time that a connection stays idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Most idle connections for each address.
+const MAX_IDLE: usize = 64;
+
+/// Longest wait for a pooled connection that still finishes its previous request.
+const READY_WAIT: Duration = Duration::from_millis(2);
+
+/// Open connection. Dropping it closes the socket, which cancels its request at the receiver.
+#[derive(Debug)]
+pub struct PooledConnection {
+    /// Sender of requests.
+    pub sender: SendRequest<Body>,
+    /// Progress of the connection.
+    pub progress: Arc<ConnectionProgress>,
+    /// Whether the connection carried a request before.
+    pub is_reused: bool,
+    task: AbortHandle,
+    address: SocketAddr,
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: PooledConnection,
+    since: Instant,
+}
+
+/// Idle connections; clones of a client share them.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    idle: Mutex<IndexMap<SocketAddr, Vec<IdleConnection>>>,
+}
+
+impl ConnectionPool {
+    /// Takes an idle connection or opens one.
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<PooledConnection> {
+        while let Some(mut connection) = self.take(address) {
+            let ready = tokio::time::timeout(READY_WAIT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(connection);
+            }
+        }
+        self.open(address).await
+    }
+
+    /// Opens a new connection.
+    pub async fn open(&self, address: SocketAddr) -> io::Result<PooledConnection> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let (stream, progress) = ProgressStream::new(stream);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("client: The connection to {address} ended early: {error}.");
+            }
+        });
+        Ok(PooledConnection {
+            sender,
+            progress,
+            is_reused: false,
+            task: task.abort_handle(),
+            address,
+        })
+    }
+
+    /// Keeps a connection whose response is complete.
+    pub fn put(&self, mut connection: PooledConnection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.is_reused = true;
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        let connections = idle.entry(connection.address).or_default();
+        connections.retain(|entry| now.duration_since(entry.since) < IDLE_TIMEOUT);
+        if connections.len() < MAX_IDLE {
+            connections.push(IdleConnection {
+                connection,
+                since: now,
+            });
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<PooledConnection> {
+        let mut idle = self.idle.lock();
+        let connections = idle.get_mut(&address)?;
+        let now = Instant::now();
+        connections.retain(|entry| {
+            now.duration_since(entry.since) < IDLE_TIMEOUT && !entry.connection.sender.is_closed()
+        });
+        let entry = connections.pop();
+        if connections.is_empty() {
+            idle.swap_remove(&address);
+        }
+        entry.map(|entry| entry.connection)
+    }
+}
--- a/src/standin/service_chain.rs
+++ b/src/standin/service_chain.rs
@@ -18,6 +18,9 @@
 /// Interval of the checks whether a daemon is ready.
 const READY_POLL: Duration = Duration::from_millis(10);
 
+/// Ports for listeners, below the default range for outgoing connections.
+const FREE_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// Describes a chain before it starts.
 #[derive(Debug, Default)]
 pub struct ChainBuilder {
@@ -237,6 +240,14 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
 }
 
-async fn free_address() -> io::Result<SocketAddr> {
-    loopback_listener().await?.local_addr()
+/// Finds a free port outside the range from which the operating system takes the local ports of
+/// outgoing connections; a port of that range can be taken before its listener opens.
+pub async fn free_address() -> io::Result<SocketAddr> {
+    loop {
+        let port = rand::random_range(FREE_PORTS);
+        match TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            bound => return bound?.local_addr(),
+        }
+    }
 }
--- /dev/null
+++ b/tests/backend_outcomes.rs
@@ -0,0 +1,189 @@
+//! Outcomes of failures between a daemon and its own backend server; one test for each row of the
+//! table in `docs/guarantees.md`.
+
+mod support;
+
+use std::time::Duration;
+use support::{
+    PROFILE, Seen, TestDaemon, TestPlatform, call, free_address,
+    raw_server::{Act, RawServer, ok},
+    wait_until,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+async fn start(backend: &RawServer) -> TestDaemon {
+    let platform = TestPlatform::start(PROFILE).await;
+    let settings = TestDaemon::settings("b-1", platform.address, backend.address).await;
+    TestDaemon::start(settings).await
+}
+
+async fn respond(act: Act, path: &str) -> Seen {
+    let backend = RawServer::start(move |_, _| act.clone()).await;
+    let daemon = start(&backend).await;
+    call(daemon.settings.edge, path, &[], "").await
+}
+
+/// Guards against "unknown" where no connection could be made.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connection_is_not_run() {
+    let platform = TestPlatform::start(PROFILE).await;
+    let settings = TestDaemon::settings("b-1", platform.address, free_address().await).await;
+    let daemon = TestDaemon::start(settings).await;
+    let seen = call(daemon.settings.edge, "/plain", &[], "").await;
+    assert_eq!(seen.summary(), "503 not-run no-upstream");
+}
+
+/// Guards against "not run" after the backend server read the request and closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn close_after_reading_is_unknown() {
+    let seen = respond(Act::SendClose(String::new()), "/plain").await;
+    assert_eq!(seen.summary(), "502 unknown broken");
+}
+
+/// Guards against a partial head that passes as a response.
+#[tokio::test(flavor = "multi_thread")]
+async fn partial_head_is_unknown() {
+    let seen = respond(Act::SendClose("HTTP/1.1 200 OK\r\nconte".into()), "/plain").await;
+    assert_eq!(seen.summary(), "502 unknown broken");
+}
+
+/// Guards against "not run" for a request that the backend server swallowed, and against a request
+/// that stays at the backend server after its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn swallowed_request_is_unknown() {
+    let backend = RawServer::start(|_, _| Act::Hold).await;
+    let daemon = start(&backend).await;
+    let seen = call(daemon.settings.edge, "/short", &[], "").await;
+    assert_eq!(seen.summary(), "504 unknown deadline");
+    wait_until("the cancellation", || backend.cancelled() == 1).await;
+}
+
+/// Guards against a late response that passes to the next caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_response_reaches_nobody() {
+    let backend = RawServer::start(|number, _| match number {
+        0 => Act::SendLate(Duration::from_millis(400), ok("late")),
+        _ => Act::Send(ok("second")),
+    })
+    .await;
+    let daemon = start(&backend).await;
+    let first = call(daemon.settings.edge, "/short", &[], "").await;
+    assert_eq!(first.summary(), "504 unknown deadline");
+    let second = call(daemon.settings.edge, "/plain", &[], "").await;
+    assert_eq!(second.summary(), "200 ran second");
+}
+
+/// Guards against a truncated body that passes as a short success.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_body_is_aborted() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort";
+    let seen = respond(Act::SendClose(head.into()), "/plain").await;
+    assert_eq!(seen.summary(), "200 ran aborted");
+}
+
+/// Guards against a chunked body without its last chunk that passes as a short success.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_chunked_body_is_aborted() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n";
+    let seen = respond(Act::SendClose(head.into()), "/plain").await;
+    assert_eq!(seen.summary(), "200 ran aborted");
+}
+
+/// Guards against "ran" for the published refusal, and against "not run" for another error.
+#[tokio::test(flavor = "multi_thread")]
+async fn published_refusal_is_not_run() {
+    let refusal = "HTTP/1.1 503 Busy\r\nx-refused: busy\r\ncontent-length: 0\r\n\r\n";
+    let seen = respond(Act::Send(refusal.into()), "/plain").await;
+    assert_eq!(seen.summary(), "503 not-run ");
+    let other = "HTTP/1.1 503 Busy\r\nx-refused: later\r\ncontent-length: 0\r\n\r\n";
+    let seen = respond(Act::Send(other.into()), "/plain").await;
+    assert_eq!(seen.summary(), "503 ran ");
+}
+
+/// Guards against a second response on a connection that passes to the next caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_response_reaches_nobody() {
+    let backend = RawServer::start(|number, _| match number {
+        0 => Act::Send(ok("first") + &ok("twice")),
+        _ => Act::Send(ok("second")),
+    })
+    .await;
+    let daemon = start(&backend).await;
+    let first = call(daemon.settings.edge, "/plain", &[], "").await;
+    assert_eq!(first.summary(), "200 ran first");
+    let second = call(daemon.settings.edge, "/plain", &[], "").await;
+    assert_eq!(second.summary(), "200 ran second");
+}
+
+/// Guards against a response to an earlier request where the backend server names the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_to_another_request_is_unknown() {
+    let other = "HTTP/1.1 200 OK\r\nskylark-request: 1-2\r\ncontent-length: 0\r\n\r\n";
+    let seen = respond(Act::Send(other.into()), "/plain").await;
+    assert_eq!(seen.summary(), "502 unknown wrong-attempt");
+}
+
+/// Guards against a failure, or a second run, when the backend server closed an idle connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_idle_connection_is_replaced() {
+    let backend = RawServer::start(|_, _| Act::SendClose(ok("done"))).await;
+    let daemon = start(&backend).await;
+    for run in 1..=3 {
+        let seen = call(daemon.settings.edge, "/plain", &[], "").await;
+        assert_eq!(seen.summary(), "200 ran done");
+        assert_eq!(backend.runs(), run);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a request whose deadline passed that is sent all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn passed_deadline_is_not_run() {
+    let backend = RawServer::counting().await;
+    let daemon = start(&backend).await;
+    let seen = call(
+        daemon.settings.edge,
+        "/plain",
+        &[("skylark-deadline-us", "0")],
+        "",
+    )
+    .await;
+    assert_eq!(seen.summary(), "504 not-run deadline");
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Guards against a truncated request body that the backend server takes for complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_request_body_is_aborted() {
+    let backend = RawServer::counting().await;
+    let daemon = start(&backend).await;
+    let mut stream = TcpStream::connect(daemon.settings.edge).await.unwrap();
+    let head = b"POST /plain HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nshort";
+    stream.write_all(head).await.unwrap();
+    wait_until("the arrival", || backend.connections() == 1).await;
+    drop(stream);
+    wait_until("the end", || backend.requests().len() == 1).await;
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Guards against work that continues, and a slot that stays taken, after its caller left.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_reaches_the_backend_server() {
+    let backend = RawServer::start(|_, _| Act::Hold).await;
+    let daemon = start(&backend).await;
+    let mut stream = TcpStream::connect(daemon.settings.edge).await.unwrap();
+    let head = b"GET /plain HTTP/1.1\r\nhost: x\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    wait_until("the arrival", || backend.runs() == 1).await;
+    drop(stream);
+    wait_until("the cancellation", || backend.cancelled() == 1).await;
+    let mut stream = TcpStream::connect(daemon.settings.admin).await.unwrap();
+    let head = b"GET /status HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    let mut status = String::new();
+    stream.read_to_string(&mut status).await.unwrap();
+    assert!(status.contains("\"in_flight\":0"), "{status}");
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,256 @@
+//! Fakes on loopback and daemons around them.
+#![allow(dead_code, clippy::unwrap_used)]
+
+pub mod raw_server;
+
+use gotham::helpers::http::Body;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use skylarkstream::{
+    settings::DaemonSettings,
+    shell::{daemon, header_names, http_client::HttpClient, http_server},
+    standin::platform_service::PlatformService,
+};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+/// Profile with a plain route, an idempotent route and a route that requires a ticket.
+pub const PROFILE: &str = r#"
+name = "bookings"
+default_class = "booking"
+classes = { booking = 0 }
+progress_ms = 200
+refusal = { status = 503, header = "x-refused", value = "busy" }
+
+[[routes]]
+path = "/read"
+class = "booking"
+idempotent = true
+deadline_ms = 1500
+
+[[routes]]
+path = "/short"
+class = "booking"
+deadline_ms = 250
+
+[[routes]]
+path = "/book"
+class = "booking"
+ticket = "required"
+deadline_ms = 3000
+"#;
+
+/// Platform with the profile for the services `bookings` and `documents`.
+pub struct TestPlatform {
+    pub service: PlatformService,
+    pub address: SocketAddr,
+    _stop: watch::Sender<bool>,
+}
+
+impl TestPlatform {
+    pub async fn start(profile: &str) -> Self {
+        let service = PlatformService::new();
+        let listener = listener().await;
+        let address = listener.local_addr().unwrap();
+        let stop = watch::Sender::new(false);
+        tokio::spawn(http_server::serve(
+            listener,
+            service.clone(),
+            stop.subscribe(),
+        ));
+        service.publish("profiles/bookings", profile);
+        for name in ["bookings", "documents"] {
+            service.publish(&format!("services/{name}"), "profile = \"bookings\"");
+            service.publish(&format!("instances/{name}"), "");
+        }
+        Self {
+            service,
+            address,
+            _stop: stop,
+        }
+    }
+
+    /// Publishes the instances of a service, each as name and peer address.
+    pub fn instances(&self, service: &str, members: &[(&str, SocketAddr)]) {
+        let list: String = members
+            .iter()
+            .map(|(name, peer)| {
+                format!(
+                    "[[instances]]\ninstance = \"{name}\"\ndata_centre = \"dc-1\"\n\
+                     peer = \"{peer}\"\ncontrol = \"{peer}\"\n"
+                )
+            })
+            .collect();
+        self.service.publish(&format!("instances/{service}"), list);
+    }
+}
+
+/// Daemon of the service `bookings`, which calls `documents`.
+pub struct TestDaemon {
+    pub settings: DaemonSettings,
+    task: tokio::task::JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+impl TestDaemon {
+    /// Settings with free ports.
+    pub async fn settings(
+        instance: &str,
+        platform: SocketAddr,
+        backend: SocketAddr,
+    ) -> DaemonSettings {
+        DaemonSettings {
+            cluster: "test".into(),
+            data_centre: "dc-1".into(),
+            instance: instance.into(),
+            service: "bookings".into(),
+            backend,
+            edge: free_address().await,
+            peer: free_address().await,
+            outbound: free_address().await,
+            control: free_address().await,
+            admin: free_address().await,
+            platform,
+            seed_peers: Vec::new(),
+            calls: vec!["documents".into()],
+            trace_file: None,
+        }
+    }
+
+    /// Runs a daemon until its profile is in force.
+    pub async fn start(settings: DaemonSettings) -> Self {
+        let stop = watch::Sender::new(false);
+        let run = daemon::run(settings.clone(), stop.subscribe());
+        let task = tokio::spawn(async move {
+            let _ = run.await;
+        });
+        let daemon = Self {
+            settings,
+            task,
+            _stop: stop,
+        };
+        let ready = async {
+            while !daemon.is_ready().await {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(10), ready)
+            .await
+            .expect("a ready daemon");
+        // The lists of instances are read after the own profile.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        daemon
+    }
+
+    /// Ends the daemon abruptly. Its open connections stay served until their requests end.
+    pub async fn kill(self) -> DaemonSettings {
+        self.task.abort();
+        let _ = self.task.await;
+        self.settings
+    }
+
+    async fn is_ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.settings.admin).await else {
+            return false;
+        };
+        let head = "GET /status HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let mut text = String::new();
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.read_to_string(&mut text).await;
+        text.contains("\"profile_version\":1")
+    }
+}
+
+/// Response as its caller sees it.
+#[derive(Debug)]
+pub struct Seen {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// Body, or `None` for an aborted transfer.
+    pub body: Option<String>,
+}
+
+impl Seen {
+    pub fn outcome(&self) -> &str {
+        self.header("skylark-outcome")
+    }
+
+    pub fn reason(&self) -> &str {
+        self.header("skylark-reason")
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("-", |value| value.to_str().unwrap())
+    }
+
+    /// Status, outcome and reason, or the body where there is no reason.
+    pub fn summary(&self) -> String {
+        let rest = match (self.reason(), &self.body) {
+            ("-", Some(body)) => body,
+            ("-", None) => "aborted",
+            (reason, _) => reason,
+        };
+        format!("{} {} {rest}", self.status.as_u16(), self.outcome())
+    }
+}
+
+/// Sends a request over a new connection; panics when no response head arrives.
+pub async fn call(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Seen {
+    let mut request = Request::new(Body::new(
+        Full::from(body.to_owned()).map_err(|never| match never {}),
+    ));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = format!("http://{address}{path}").parse().unwrap();
+    for (name, value) in headers {
+        let name: http::HeaderName = name.parse().unwrap();
+        request.headers_mut().insert(name, value.parse().unwrap());
+    }
+    let response = HttpClient::new().send(address, request).await.unwrap();
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok();
+    Seen {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.map(|body| String::from_utf8(body.to_bytes().to_vec()).unwrap()),
+    }
+}
+
+/// Calls the service `documents` through the outbound listener.
+pub async fn call_documents(daemon: &TestDaemon, path: &str, headers: &[(&str, &str)]) -> Seen {
+    let headers = [headers, &[("host", "documents")]].concat();
+    call(daemon.settings.outbound, path, &headers, "").await
+}
+
+/// Asks for a ticket of the executor behind `address`.
+pub async fn ticket(address: SocketAddr) -> String {
+    let seen = call(address, "/book", &[], "").await;
+    assert_eq!(seen.summary(), "428 not-run ticket-required");
+    seen.header(header_names::TICKET.as_str()).to_owned()
+}
+
+pub async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+pub async fn free_address() -> SocketAddr {
+    skylarkstream::standin::service_chain::free_address()
+        .await
+        .unwrap()
+}
+
+/// Waits until a condition holds; ends the test after ten seconds.
+pub async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not happen");
+}
