Run tickets at most once and bound retries over the whole chain

Tickets are issued and checked under an HMAC key of the incarnation, and run under a bounded record at the executor that they name. Attempts of other daemons run under a second record, which answers checks over a new connection when the first connection goes silent or breaks. A recorded run is a task of its own: an attempt is cancelled when nobody waits for it, a ticketed run goes on.

Faults of the earlier path that this removes: - A figure of unused attempts beyond the slice was cut to the slice, so that a faulty peer could create attempts. It now returns nothing.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -3,4 +3,5 @@
 pub mod call_ledgers;
 pub mod gate_controller;
 pub mod profile_controller;
+pub mod run_records;
 pub mod upstream_controller;
--- a/src/controller/upstream_controller.rs
+++ b/src/controller/upstream_controller.rs
@@ -49,6 +49,19 @@
         Some((key, info))
     }
 
+    /// Chooses the upstream with a given name.
+    pub fn choose_named(
+        &self,
+        service: &str,
+        data_centre: &str,
+        instance: &str,
+    ) -> Option<(UpstreamKey, InstanceInfo)> {
+        let mut set = self.sets.get(service)?.lock();
+        let key = set.choose_named(data_centre, instance)?;
+        let info = set.info(key)?.clone();
+        Some((key, info))
+    }
+
     /// Records the end of an attempt.
     pub fn finish(
         &self,
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod clock;
+pub mod once;
 pub mod profile;
 pub mod request_context;
 pub mod request_priority;
--- a/src/decision/request_context.rs
+++ b/src/decision/request_context.rs
@@ -32,6 +32,23 @@
     }
 }
 
+/// An attempt id cannot be read.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("The attempt id is not a number of 16 hex digits.")]
+pub struct ParseAttemptError;
+
+impl FromStr for AttemptId {
+    type Err = ParseAttemptError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 16 {
+            return Err(ParseAttemptError);
+        }
+        let id = u64::from_str_radix(text, 16).map_err(|_| ParseAttemptError)?;
+        Ok(Self(id))
+    }
+}
+
 /// Context of one call as its daemon sees it.
 #[derive(Clone, Debug)]
 pub struct RequestContext {
--- a/src/decision/retry/attempt_ledger.rs
+++ b/src/decision/retry/attempt_ledger.rs
@@ -1,5 +1,22 @@
 //! Allowance of extra attempts of one call.
 
+/// Part of an allowance that goes down with one attempt. It can be given back once only, so that a
+/// duplicate response cannot create attempts.
+#[derive(Debug)]
+#[must_use]
+pub struct AllowanceSlice(u16);
+
+impl AllowanceSlice {
+    /// Returns the extra attempts of the slice.
+    pub fn size(&self) -> u16 {
+        self.0
+    }
+
+    fn into_size(self) -> u16 {
+        self.0
+    }
+}
+
 /// Tracks the extra attempts that one call and all calls below it may still make.
 ///
 /// The sum of all ledgers of a root request never exceeds the allowance granted at its entry: a
@@ -24,6 +41,11 @@
         self.rest
     }
 
+    /// Returns whether the response head is not sent yet.
+    pub fn is_open(&self) -> bool {
+        self.is_open
+    }
+
     /// Takes one extra attempt; returns false when none is left.
     pub fn take_extra(&mut self) -> bool {
         if self.rest == 0 {
@@ -34,22 +56,23 @@
     }
 
     /// Reserves the slice that goes down with an outgoing attempt.
-    pub fn reserve_slice(&mut self) -> u16 {
+    pub fn reserve_slice(&mut self) -> AllowanceSlice {
         let slice = self.rest.div_ceil(2);
         self.rest -= slice;
-        slice
+        AllowanceSlice(slice)
     }
 
-    /// Takes back the unused rest of a slice. A larger figure than the slice is cut to it, so that
-    /// a faulty peer cannot create attempts. A closed ledger takes nothing back, since its rest
-    /// was already reported.
-    pub fn return_unused(&mut self, slice: u16, unused: u16) {
-        if self.is_open {
-            self.rest += unused.min(slice);
+    /// Takes back the unused rest of a slice. A larger figure than the slice comes from a faulty
+    /// peer, which may have used the whole slice, and returns nothing. A closed ledger takes
+    /// nothing back, since its rest was already reported.
+    pub fn return_unused(&mut self, slice: AllowanceSlice, unused: u16) {
+        let size = slice.into_size();
+        if self.is_open && unused <= size {
+            self.rest += unused;
         }
     }
 
-    /// Closes the ledger and returns the unused rest for the answer.
+    /// Closes the ledger and returns the unused rest for the response.
     pub fn close(&mut self) -> u16 {
         self.is_open = false;
         std::mem::take(&mut self.rest)
--- a/src/decision/routing/upstream_set.rs
+++ b/src/decision/routing/upstream_set.rs
@@ -109,6 +109,16 @@
         Some(key)
     }
 
+    /// Chooses the upstream with a given name, also when it is leaving, and counts the attempt as in
+    /// flight.
+    pub fn choose_named(&mut self, data_centre: &str, instance: &str) -> Option<UpstreamKey> {
+        let (key, state) = self.upstreams.iter_mut().find(|(_, state)| {
+            state.info.data_centre == data_centre && state.info.instance == instance
+        })?;
+        state.in_flight += 1;
+        Some(key)
+    }
+
     /// Records the end of an attempt.
     pub fn finish(
         &mut self,
--- a/src/filter.rs
+++ b/src/filter.rs
@@ -1,16 +1,26 @@
 //! Request filter chain.
 //!
-//! Requests to the own backend server pass [`identify_filter`], [`classify_filter`],
-//! [`ledger_filter`] and [`admission_filter`] before [`backend_handler`] sends them. Calls of the
-//! own backend server to other services go through [`outbound_handler`].
+//! Requests to the own backend server pass [`identify_filter`], [`attempt_filter`],
+//! [`classify_filter`], [`ticket_filter`], [`ledger_filter`] and [`admission_filter`] before
+//! [`backend_handler`] sends them. Calls of the own backend server to other services go through
+//! [`outbound_handler`].
 
 pub mod admission_filter;
+pub mod attempt_filter;
 pub mod backend_handler;
 pub mod classify_filter;
 pub mod identify_filter;
 pub mod inbound_chain;
 pub mod ledger_filter;
+pub mod ledger_guard;
 pub mod outbound_handler;
+pub mod outgoing_call;
+pub mod peer_attempt;
+pub mod recorded_run;
 pub mod refusal;
 pub mod request_headers;
+pub mod request_marks;
 pub mod response_body;
+pub mod ticket_filter;
+pub mod ticket_forward;
+pub mod upstream_slot;
--- a/src/filter/classify_filter.rs
+++ b/src/filter/classify_filter.rs
@@ -1,4 +1,4 @@
-//! Second filter: class, deadline and allowance of a root request.
+//! Third filter: class, deadline and allowance of a root request.
 
 use crate::{
     common::*,
@@ -6,7 +6,7 @@
         profile::service_profile::ServiceProfile, request_context::RequestContext,
         request_priority::RequestPriority,
     },
-    filter::{identify_filter::CallState, refusal::RefusalError},
+    filter::{identify_filter::CallState, refusal::RefusalError, request_marks::RequestMarks},
     shell::daemon::DaemonState,
 };
 use futures_util::FutureExt;
@@ -36,7 +36,8 @@
         async move {
             let service = &self.daemon.settings.service;
             let Some(in_force) = self.daemon.profiles.get(service) else {
-                let error = RefusalError::NoProfile(service.clone());
+                let is_repeat = state.borrow::<RequestMarks>().is_repeat();
+                let error = RefusalError::NoProfile(service.clone()).for_repeat(is_repeat);
                 return Ok((state, error.to_response()));
             };
             let method = state.borrow::<Method>().clone();
--- a/src/filter/identify_filter.rs
+++ b/src/filter/identify_filter.rs
@@ -5,8 +5,9 @@
     decision::{
         request_context::{AttemptId, CallId, RequestContext, RequestId},
         request_priority::{LOWEST_CLASS, RequestPriority},
+        run_outcome::RunOutcome,
     },
-    filter::{refusal::RefusalError, request_headers},
+    filter::{refusal::RefusalError, request_headers, request_marks::RequestMarks},
     shell::{daemon::DaemonState, header_names},
 };
 use futures_util::FutureExt;
@@ -58,26 +59,51 @@
                 RequestOrigin::Edge => Ok(self.edge_context(headers, now)),
                 RequestOrigin::Peer => self.peer_context(headers, now),
             };
+            let marks = self.marks(headers);
+            let attempt = headers.get(header_names::ATTEMPT).cloned();
             request_headers::strip(headers);
-            match context {
+            let (state, mut response) = match context {
                 Ok(context) => {
+                    let allowance = context.allowance;
                     state.put(CallState(context));
-                    chain(state).await
+                    state.put(marks);
+                    let (state, mut response) = chain(state).await?;
+                    report_unused(response.headers_mut(), allowance);
+                    (state, response)
                 }
-                Err(error) => Ok((state, error.to_response())),
+                Err(error) => {
+                    let error = error.for_repeat(marks.is_repeat());
+                    (state, error.to_response())
+                }
+            };
+            let headers = response.headers_mut();
+            match (self.origin, attempt) {
+                (RequestOrigin::Edge, _) => strip_internal(headers),
+                (RequestOrigin::Peer, Some(attempt)) => {
+                    headers.insert(header_names::ATTEMPT, attempt);
+                }
+                (RequestOrigin::Peer, None) => {}
             }
+            Ok((state, response))
         }
         .boxed()
     }
 }
 
 impl IdentifyFilter {
+    fn marks(&self, headers: &HeaderMap) -> RequestMarks {
+        let ticket = headers.get(header_names::TICKET);
+        RequestMarks {
+            ticket: ticket.map(|value| value.to_str().unwrap_or_default().into()),
+            is_resume: self.origin == RequestOrigin::Peer
+                && request_headers::is_set(headers, &header_names::RESUME),
+        }
+    }
+
     fn edge_context(&self, headers: &HeaderMap, now: Instant) -> RequestContext {
         let trace = request_headers::trace_parent(headers);
         let request = trace.map_or_else(|| RequestId(rand::random()), |(request, _)| request);
-        let is_retry = headers
-            .get(header_names::RETRY)
-            .is_some_and(|value| value == "1");
+        let is_retry = request_headers::is_set(headers, &header_names::RETRY);
         let wanted_us: Option<u64> =
             request_headers::parse(headers, &header_names::DEADLINE_US).unwrap_or_default();
         let deadline = wanted_us.map_or(UNSET_DEADLINE, Duration::from_micros);
@@ -118,7 +144,7 @@
             request,
             call: CallId(rand::random()),
             parent: Some(parent),
-            attempt: Some(AttemptId(parent.0)),
+            attempt: Some(required::<AttemptId>(headers, &header_names::ATTEMPT)?),
             priority: required(headers, &header_names::PRIORITY)?,
             deadline: now + Duration::from_micros(left_us).min(UNSET_DEADLINE),
             entered: now.checked_sub(age).unwrap_or(now),
@@ -130,6 +156,26 @@
     }
 }
 
+/// Reports the whole allowance of a request that was refused before its ledger was opened.
+fn report_unused(headers: &mut HeaderMap, allowance: u16) {
+    let is_not_run = request_headers::outcome(headers) == RunOutcome::NotRun;
+    if is_not_run && !headers.contains_key(header_names::UNUSED) {
+        request_headers::insert(headers, header_names::UNUSED, allowance);
+    }
+}
+
+/// Removes the response headers that are meant for daemons.
+fn strip_internal(headers: &mut HeaderMap) {
+    for name in [
+        header_names::UNUSED,
+        header_names::ATTEMPT,
+        header_names::THRESHOLD,
+        header_names::LEAVING,
+    ] {
+        headers.remove(name);
+    }
+}
+
 fn required<T: FromStr>(headers: &HeaderMap, name: &http::HeaderName) -> Result<T, RefusalError> {
     request_headers::parse(headers, name)?
         .ok_or_else(|| RefusalError::BadHeader(name.as_str().into()))
--- a/src/filter/inbound_chain.rs
+++ b/src/filter/inbound_chain.rs
@@ -4,10 +4,12 @@
     common::*,
     filter::{
         admission_filter::AdmissionFilter,
+        attempt_filter::AttemptFilter,
         backend_handler::BackendHandler,
         classify_filter::ClassifyFilter,
         identify_filter::{IdentifyFilter, RequestOrigin},
         ledger_filter::LedgerFilter,
+        ticket_filter::TicketFilter,
     },
     shell::daemon::DaemonState,
 };
@@ -41,9 +43,15 @@
                 daemon: Arc::clone(daemon),
                 origin,
             })
+            .add(AttemptFilter {
+                daemon: Arc::clone(daemon),
+            })
             .add(ClassifyFilter {
                 daemon: Arc::clone(daemon),
             })
+            .add(TicketFilter {
+                daemon: Arc::clone(daemon),
+            })
             .add(LedgerFilter {
                 daemon: Arc::clone(daemon),
             })
--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -3,41 +3,35 @@
 use crate::{
     common::*,
     decision::{
+        once::ticket_id::TicketId,
         profile::service_profile::ServiceProfile,
-        request_context::{AttemptId, CallId, RequestContext, RequestId},
+        request_context::{CallId, RequestContext, RequestId},
         request_priority::{LOWEST_CLASS, RequestPriority},
-        routing::upstream_set::{AttemptResult, InstanceInfo, UpstreamKey},
+        routing::upstream_set::{InstanceInfo, UpstreamKey},
         run_outcome::RunOutcome,
     },
     filter::{
-        backend_handler::origin_uri,
         classify_filter::apply_profile,
+        ledger_guard::LedgerGuard,
+        outgoing_call::{CallBody, OutgoingCall},
+        peer_attempt::{AttemptEnd, PeerAttempt},
         refusal::RefusalError,
-        request_headers::{self, AttemptHeaders},
-        response_body::TrackedBody,
-    },
-    shell::{
-        daemon::DaemonState,
-        header_names,
-        http_client::{SendError, SendOptions},
-        pooled_body::PooledBody,
-        span_recorder::HopSpan,
+        request_headers,
+        upstream_slot::UpstreamSlot,
     },
+    shell::{daemon::DaemonState, header_names},
 };
-use bytes::Bytes;
 use futures_util::FutureExt;
 use gotham::{
     handler::{Handler, HandlerFuture, NewHandler},
     helpers::http::Body,
     state::{FromState, State},
 };
-use http::{HeaderMap, Method, Request, Response, Uri, header, uri::PathAndQuery};
-use http_body::Body as _;
-use http_body_util::{BodyExt, Full};
-use std::{pin::Pin, time::SystemTime};
+use http::{HeaderMap, Method, Response, StatusCode, Uri, header, uri::PathAndQuery};
+use std::pin::Pin;
 
-/// Largest body that is kept for a further attempt, in bytes.
-const MAX_KEPT_BODY: u64 = 64 * 1024;
+/// Deadline of a call for no known request, until the profile is applied.
+const UNSET_DEADLINE: Duration = Duration::from_secs(3_600);
 
 /// Handler of the outbound listener.
 #[derive(Clone)]
@@ -46,25 +40,6 @@
     pub daemon: Arc<DaemonState>,
 }
 
-/// Call that is being sent, with all that a further attempt needs.
-struct OutgoingCall {
-    service: SmolStr,
-    context: RequestContext,
-    is_idempotent: bool,
-    method: Method,
-    path: PathAndQuery,
-    headers: HeaderMap,
-    body: CallBody,
-}
-
-/// Body of an outgoing call.
-enum CallBody {
-    /// Small body that can be sent again.
-    Kept(Bytes),
-    /// Body that streams and can be sent once.
-    Streamed(Option<Body>),
-}
-
 impl NewHandler for OutboundHandler {
     type Instance = Self;
 
@@ -76,12 +51,10 @@
 impl Handler for OutboundHandler {
     fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
         async move {
-            let response = match self.read_call(&mut state).await {
-                Ok(call) => self
-                    .send_call(call)
-                    .await
-                    .unwrap_or_else(|error| error.to_response()),
-                Err(error) => error.to_response(),
+            let has_ticket = HeaderMap::borrow_from(&state).contains_key(header_names::TICKET);
+            let response = match self.handle_call(&mut state).await {
+                Ok(response) => response,
+                Err(error) => error.for_repeat(has_ticket).to_response(),
             };
             Ok((state, response))
         }
@@ -90,95 +63,103 @@
 }
 
 impl OutboundHandler {
-    async fn read_call(&self, state: &mut State) -> Result<OutgoingCall, RefusalError> {
+    async fn handle_call(&self, state: &mut State) -> Result<Response<Body>, RefusalError> {
+        let (call, is_root) = self.read_call(state).await?;
+        let _guard = if is_root {
+            Some(LedgerGuard::open(&self.daemon, &call.context)?)
+        } else {
+            None
+        };
+        if call.is_marked_retry && !self.take_extra(&call.context) {
+            return Err(RefusalError::AllowanceSpent);
+        }
+        self.send_call(call).await
+    }
+
+    /// Reads a call; the flag tells whether it starts a root request.
+    async fn read_call(&self, state: &mut State) -> Result<(OutgoingCall, bool), RefusalError> {
         let now = self.daemon.clock.now();
         let body = Body::take_from(state);
         let mut headers = HeaderMap::take_from(state);
         let method = Method::borrow_from(state).clone();
         let uri = Uri::borrow_from(state).clone();
         let service = target_service(&headers, &uri);
-        if !self.daemon.upstreams.knows(&service) {
+        if !self.daemon.settings.calls.contains(&service) {
             return Err(RefusalError::UnknownService(service));
         }
-        let profile = self
-            .daemon
-            .profiles
-            .get(&service)
+        let in_force = self.daemon.profiles.get(&service);
+        let profile = in_force
             .ok_or_else(|| RefusalError::NoProfile(service.clone()))?
             .profile;
-        let context = self.call_context(&headers, &profile, &method, &uri, now);
+        let known = request_headers::copied_call(&headers)
+            .and_then(|(request, call)| self.daemon.ledgers.find(request, Some(call)));
+        let is_root = known.is_none();
+        let context = known
+            .unwrap_or_else(|| root_context(&headers, &profile, method.as_str(), uri.path(), now));
         let rule = profile.rule(method.as_str(), uri.path());
+        let ticket = read_ticket(&headers)?;
+        let is_marked_retry = request_headers::is_set(&headers, &header_names::RETRY);
         request_headers::strip(&mut headers);
         request_headers::strip_hop_by_hop(&mut headers);
-        Ok(OutgoingCall {
+        let path = uri.path_and_query().cloned();
+        let call = OutgoingCall {
             is_idempotent: rule.map_or(method.is_safe(), |rule| rule.idempotent),
+            is_marked_retry,
+            ticket,
             service,
             context,
             method,
-            path: uri
-                .path_and_query()
-                .cloned()
-                .unwrap_or_else(|| PathAndQuery::from_static("/")),
+            path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
             headers,
             body: CallBody::read(body).await?,
-        })
-    }
-
-    fn call_context(
-        &self,
-        headers: &HeaderMap,
-        profile: &ServiceProfile,
-        method: &Method,
-        uri: &Uri,
-        now: Instant,
-    ) -> RequestContext {
-        let copied = request_headers::copied_call(headers);
-        let known =
-            copied.and_then(|(request, call)| self.daemon.ledgers.find(request, Some(call)));
-        known.unwrap_or_else(|| {
-            let request = copied.map_or_else(|| RequestId(rand::random()), |(id, _)| id);
-            let mut context = RequestContext {
-                request,
-                call: CallId(rand::random()),
-                parent: None,
-                attempt: None,
-                priority: RequestPriority::for_request(LOWEST_CLASS, false, request.0),
-                deadline: now + Duration::from_secs(3_600),
-                entered: now,
-                allowance: 0,
-                depth: 0,
-                is_entry: true,
-                caller_service: SmolStr::default(),
-            };
-            apply_profile(&mut context, profile, method.as_str(), uri.path(), now);
-            context.priority.class = LOWEST_CLASS;
-            context
-        })
+        };
+        Ok((call, is_root))
     }
 
     async fn send_call(&self, mut call: OutgoingCall) -> Result<Response<Body>, RefusalError> {
         let mut tried = Vec::new();
-        loop {
-            let now = self.daemon.clock.now();
-            if call.context.deadline <= now {
-                return Err(RefusalError::DeadlineBefore);
+        let mut is_unknown = false;
+        let mut last = Err(match call.ticket {
+            Some(_) => RefusalError::ExecutorAway,
+            None => RefusalError::NoUpstream(call.service.clone()),
+        });
+        while let Some((key, info)) = self.choose(&call, &tried) {
+            let slot = UpstreamSlot::new(&self.daemon, &call.service, key);
+            if call.context.deadline <= self.daemon.clock.now() {
+                last = Err(RefusalError::DeadlineBefore);
+                break;
+            }
+            if !tried.is_empty() && !self.take_extra(&call.context) {
+                break;
             }
-            let (key, info) = self
-                .daemon
-                .upstreams
-                .choose(&call.service, &tried, now)
-                .ok_or_else(|| RefusalError::NoUpstream(call.service.clone()))?;
             tried.push(key);
-            let (outcome, answer) = self.send_attempt(&mut call, key, &info).await;
-            let may_repeat = match outcome {
-                RunOutcome::Ran => false,
-                RunOutcome::NotRun => true,
+            let end = self.send_attempt(&mut call, slot, &info).await;
+            is_unknown |= end.outcome == RunOutcome::Unknown;
+            let may_repeat = match end.outcome {
+                RunOutcome::Ran => return end.response,
+                RunOutcome::NotRun => is_curable_elsewhere(&end.response),
                 RunOutcome::Unknown => call.is_idempotent,
             };
-            if !may_repeat || !call.body.is_repeatable() || !self.take_extra(&call.context) {
-                return answer;
+            last = end.response;
+            if !may_repeat || call.ticket.is_some() || !call.body.is_repeatable() {
+                break;
             }
         }
+        final_response(last, is_unknown)
+    }
+
+    fn choose(
+        &self,
+        call: &OutgoingCall,
+        tried: &[UpstreamKey],
+    ) -> Option<(UpstreamKey, InstanceInfo)> {
+        let upstreams = &self.daemon.upstreams;
+        match &call.ticket {
+            Some(ticket) => {
+                upstreams.choose_named(&call.service, &ticket.data_centre, &ticket.instance)
+            }
+            None => upstreams.choose(&call.service, tried, self.daemon.clock.now()),
+        }
     }
 
     fn take_extra(&self, context: &RequestContext) -> bool {
@@ -191,171 +172,102 @@
     async fn send_attempt(
         &self,
         call: &mut OutgoingCall,
-        key: UpstreamKey,
+        slot: UpstreamSlot,
         info: &InstanceInfo,
-    ) -> (RunOutcome, Result<Response<Body>, RefusalError>) {
+    ) -> AttemptEnd {
         let RequestContext {
-            request,
-            call: id,
-            deadline,
-            ..
+            request, call: id, ..
         } = call.context;
-        let attempt = AttemptId(rand::random());
         let ledgers = &self.daemon.ledgers;
-        let slice = ledgers
-            .with(request, id, |ledger| ledger.reserve_slice())
-            .unwrap_or(0);
-        let start = self.daemon.clock.now();
-        let started_at = SystemTime::now();
-        let outgoing = self.attempt_request(call, info, attempt, slice, start);
-        let options = SendOptions {
-            deadline: Some(deadline),
-            ..SendOptions::default()
-        };
-        let result = match self
-            .daemon
-            .client
-            .send_with(info.peer, outgoing, options)
-            .await
-        {
-            Ok(response) => Ok(response),
-            Err(SendError::NotSent { .. }) => Err(RefusalError::NoUpstream(call.service.clone())),
-            Err(SendError::Broken { .. }) => Err(RefusalError::Broken),
-            Err(SendError::Deadline { .. }) => Err(RefusalError::DeadlineAfter),
-        };
-        let latency = self.daemon.clock.now() - start;
-        let outcome = match &result {
-            Err(error) => error.outcome(),
-            Ok(response) => answer_outcome(response.headers()),
-        };
-        self.daemon.spans.record(HopSpan {
-            request,
-            span: CallId(attempt.0),
-            parent: Some(id),
-            name: call.service.clone(),
-            is_server: false,
-            start: started_at,
-            duration: latency,
-            outcome: outcome.as_str(),
-        });
-        let response = match result {
-            Err(error) => {
-                self.finish(call, key, AttemptResult::Failed, latency);
-                return (outcome, Err(error));
-            }
-            Ok(response) => response,
+        let slice = ledgers.with(request, id, |ledger| ledger.reserve_slice());
+        let body = call.body.next_body();
+        let ticket = call.ticket.as_ref().map(TicketId::to_string);
+        let attempt = PeerAttempt {
+            daemon: &self.daemon,
+            service: &call.service,
+            info,
+            context: &call.context,
+            slice: slice.as_ref().map_or(0, |slice| slice.size()),
+            progress: self.daemon.progress_time(&call.service),
+            method: &call.method,
+            path: &call.path,
+            headers: &call.headers,
+            ticket: ticket.as_deref(),
         };
-        let unused = request_headers::parse(response.headers(), &header_names::UNUSED)
-            .unwrap_or_default()
-            .unwrap_or(0);
-        ledgers.with(request, id, |ledger| ledger.return_unused(slice, unused));
-        if response.headers().contains_key(header_names::LEAVING) {
-            self.daemon.upstreams.mark_leaving(&call.service, key);
+        let end = attempt.send(slot, body).await;
+        if let Some(slice) = slice {
+            ledgers.with(request, id, |ledger| {
+                ledger.return_unused(slice, end.unused);
+            });
         }
-        let result = match outcome {
-            RunOutcome::NotRun => AttemptResult::Refused,
-            _ => AttemptResult::Answered,
-        };
-        (
-            outcome,
-            Ok(self.answer(call, key, response, result, latency)),
-        )
-    }
-
-    fn answer(
-        &self,
-        call: &OutgoingCall,
-        key: UpstreamKey,
-        response: Response<PooledBody>,
-        result: AttemptResult,
-        latency: Duration,
-    ) -> Response<Body> {
-        let (mut parts, body) = response.into_parts();
-        request_headers::strip_hop_by_hop(&mut parts.headers);
-        let daemon = Arc::clone(&self.daemon);
-        let service = call.service.clone();
-        let body = TrackedBody::wrap(Body::new(body), move |is_complete| {
-            let result = if is_complete {
-                result
-            } else {
-                AttemptResult::Failed
-            };
-            daemon
-                .upstreams
-                .finish(&service, key, result, latency, daemon.clock.now());
-        });
-        Response::from_parts(parts, body)
-    }
-
-    fn finish(
-        &self,
-        call: &OutgoingCall,
-        key: UpstreamKey,
-        result: AttemptResult,
-        latency: Duration,
-    ) {
-        let now = self.daemon.clock.now();
-        self.daemon
-            .upstreams
-            .finish(&call.service, key, result, latency, now);
-    }
-
-    fn attempt_request(
-        &self,
-        call: &mut OutgoingCall,
-        info: &InstanceInfo,
-        attempt: AttemptId,
-        slice: u16,
-        now: Instant,
-    ) -> Request<Body> {
-        let mut request = Request::new(call.body.next());
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = origin_uri(info.peer, call.path.clone());
-        *request.headers_mut() = call.headers.clone();
-        let settings = &self.daemon.settings;
-        let fields = AttemptHeaders {
-            attempt,
-            slice,
-            cluster: &settings.cluster,
-            service: &settings.service,
-        };
-        request_headers::write_peer_context(request.headers_mut(), &call.context, &fields, now);
-        request
+        end
     }
 }
 
-impl CallBody {
-    async fn read(body: Body) -> Result<Self, RefusalError> {
-        let is_small = body
-            .size_hint()
-            .exact()
-            .is_some_and(|length| length <= MAX_KEPT_BODY);
-        if !is_small {
-            return Ok(Self::Streamed(Some(body)));
+/// Returns whether another upstream may run a request that was not run. Daemons refuse with 503 what
+/// concerns their own instance; a published refusal has any status and no reason.
+fn is_curable_elsewhere(response: &Result<Response<Body>, RefusalError>) -> bool {
+    match response {
+        Ok(response) => {
+            response.status() == StatusCode::SERVICE_UNAVAILABLE
+                || !response.headers().contains_key(header_names::REASON)
         }
-        let collected = body.collect().await.map_err(|_| RefusalError::BodyCut)?;
-        Ok(Self::Kept(collected.to_bytes()))
+        Err(error) => error.status() == StatusCode::SERVICE_UNAVAILABLE,
     }
+}
 
-    fn is_repeatable(&self) -> bool {
-        matches!(self, Self::Kept(_))
+/// Returns the response for the caller. After an attempt with an unknown end, a later attempt that
+/// was not run does not make the request "not run".
+fn final_response(
+    last: Result<Response<Body>, RefusalError>,
+    is_unknown: bool,
+) -> Result<Response<Body>, RefusalError> {
+    if !is_unknown {
+        return last;
     }
-
-    fn next(&mut self) -> Body {
-        match self {
-            Self::Kept(bytes) => {
-                Body::new(Full::new(bytes.clone()).map_err(|never| match never {}))
-            }
-            Self::Streamed(body) => body.take().unwrap_or_default(),
+    match last {
+        Err(error) => Err(error.for_repeat(true)),
+        Ok(response) if request_headers::outcome(response.headers()) == RunOutcome::NotRun => {
+            Err(RefusalError::Broken)
         }
+        Ok(response) => Ok(response),
+    }
+}
+
+/// Creates the context of a call for no known request.
+fn root_context(
+    headers: &HeaderMap,
+    profile: &ServiceProfile,
+    method: &str,
+    path: &str,
+    now: Instant,
+) -> RequestContext {
+    let trace = request_headers::copied_call(headers);
+    let request = trace.map_or_else(|| RequestId(rand::random()), |(id, _)| id);
+    let mut context = RequestContext {
+        request,
+        call: CallId(rand::random()),
+        parent: None,
+        attempt: None,
+        priority: RequestPriority::for_request(LOWEST_CLASS, false, request.0),
+        deadline: now + UNSET_DEADLINE,
+        entered: now,
+        allowance: 0,
+        depth: 0,
+        is_entry: true,
+        caller_service: SmolStr::default(),
+    };
+    apply_profile(&mut context, profile, method, path, now);
+    context.priority.class = LOWEST_CLASS;
+    if headers.contains_key(header_names::REQUEST) {
+        // The call belongs to a request that is over and has spent or returned its allowance.
+        context.allowance = 0;
     }
+    context
 }
 
-/// Reads the outcome that the daemon of the upstream reports.
-fn answer_outcome(headers: &HeaderMap) -> RunOutcome {
-    request_headers::parse(headers, &header_names::OUTCOME)
-        .unwrap_or_default()
-        .unwrap_or(RunOutcome::Unknown)
+fn read_ticket(headers: &HeaderMap) -> Result<Option<TicketId>, RefusalError> {
+    request_headers::parse(headers, &header_names::TICKET).map_err(|_| RefusalError::TicketInvalid)
 }
 
 fn target_service(headers: &HeaderMap, uri: &Uri) -> SmolStr {
--- a/src/filter/refusal.rs
+++ b/src/filter/refusal.rs
@@ -81,10 +81,9 @@
     /// The executor of the ticket is not in view or cannot be reached.
     #[error("The executor of the ticket cannot be reached.")]
     ExecutorAway,
-    /// A request with a ticket was refused away from the record of its executor, so that an
-    /// earlier attempt may have run.
-    #[error("{0} An earlier attempt with the ticket may have run.")]
-    TicketUndecided(Box<RefusalError>),
+    /// The last attempt was not run, and an earlier one may have run.
+    #[error("{0} An earlier attempt may have run.")]
+    Undecided(Box<RefusalError>),
 }
 
 /// Time to come back after an overload, in milliseconds, before it is spread.
@@ -109,7 +108,7 @@
             | Self::TicketExpired
             | Self::ExecutorRestarted
             | Self::ExecutorAway
-            | Self::TicketUndecided(_) => RunOutcome::Unknown,
+            | Self::Undecided(_) => RunOutcome::Unknown,
             Self::ResponseNotKept => RunOutcome::Ran,
             _ => RunOutcome::NotRun,
         }
@@ -140,7 +139,7 @@
             Self::TicketExpired => "ticket-expired",
             Self::ExecutorRestarted => "executor-restarted",
             Self::ExecutorAway => "executor-away",
-            Self::TicketUndecided(error) => error.reason(),
+            Self::Undecided(error) => error.reason(),
         }
     }
 
@@ -159,7 +158,7 @@
             Self::Cancelled | Self::TicketExpired | Self::ExecutorRestarted => StatusCode::CONFLICT,
             Self::TicketRequired(_) => StatusCode::PRECONDITION_REQUIRED,
             Self::TicketMismatch => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::TicketUndecided(error) => error.status(),
+            Self::Undecided(error) => error.status(),
             Self::NoProfile(_)
             | Self::Shed(_)
             | Self::NoUpstream(_)
@@ -170,11 +169,11 @@
         }
     }
 
-    /// Returns the refusal for a request with or without a ticket. "Not run" holds for a ticket only
-    /// when its executor says so, since an earlier attempt may have run there.
-    pub fn with_ticket(self, has_ticket: bool) -> Self {
-        if has_ticket && self.outcome() == RunOutcome::NotRun {
-            Self::TicketUndecided(Box::new(self))
+    /// Returns the refusal of a request that may be a repetition. "Not run" holds for a ticket or an
+    /// earlier attempt only when its record says so.
+    pub fn for_repeat(self, is_repeat: bool) -> Self {
+        if is_repeat && self.outcome() == RunOutcome::NotRun {
+            Self::Undecided(Box::new(self))
         } else {
             self
         }
--- a/src/filter/request_headers.rs
+++ b/src/filter/request_headers.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::request_context::{AttemptId, CallId, RequestContext, RequestId},
+    decision::{
+        request_context::{AttemptId, CallId, RequestContext, RequestId},
+        run_outcome::RunOutcome,
+    },
     filter::refusal::RefusalError,
     shell::header_names,
 };
@@ -24,6 +27,18 @@
         .ok_or_else(|| RefusalError::BadHeader(name.as_str().into()))
 }
 
+/// Returns whether a mark is set.
+pub fn is_set(headers: &HeaderMap, name: &HeaderName) -> bool {
+    headers.get(name).is_some_and(|value| value == "1")
+}
+
+/// Reads the outcome that a daemon reports; without one it is unknown.
+pub fn outcome(headers: &HeaderMap) -> RunOutcome {
+    parse(headers, &header_names::OUTCOME)
+        .unwrap_or_default()
+        .unwrap_or(RunOutcome::Unknown)
+}
+
 /// Reads the trace id and the parent span id of a `traceparent` header.
 pub fn trace_parent(headers: &HeaderMap) -> Option<(RequestId, CallId)> {
     let text = headers.get(header_names::TRACEPARENT)?.to_str().ok()?;
@@ -105,6 +120,13 @@
     insert(headers, header_names::DEADLINE_US, left.as_micros());
 }
 
+/// Writes the times of an attempt as they are when it is sent.
+pub fn write_times(headers: &mut HeaderMap, context: &RequestContext, now: Instant) {
+    write_deadline(headers, context, now);
+    let age = now.saturating_duration_since(context.entered);
+    insert(headers, header_names::AGE_US, age.as_micros());
+}
+
 /// Fields that an outgoing attempt adds to the context of its call.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptHeaders<'a> {
@@ -123,7 +145,6 @@
     headers: &mut HeaderMap,
     context: &RequestContext,
     attempt: &AttemptHeaders,
-    now: Instant,
 ) {
     let request = context.request;
     let id = attempt.attempt;
@@ -134,9 +155,6 @@
     );
     insert(headers, header_names::ATTEMPT, id);
     insert(headers, header_names::PRIORITY, context.priority);
-    write_deadline(headers, context, now);
-    let age = now.saturating_duration_since(context.entered);
-    insert(headers, header_names::AGE_US, age.as_micros());
     insert(headers, header_names::ALLOWANCE, attempt.slice);
     insert(headers, header_names::DEPTH, context.depth + 1);
     insert(headers, header_names::CLUSTER, attempt.cluster);
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -6,15 +6,21 @@
         call_ledgers::CallLedgers,
         gate_controller::GateController,
         profile_controller::{self, ApplyError, ProfileController},
+        run_records::RunRecords,
         upstream_controller::UpstreamController,
     },
     decision::{
         clock::{Clock, SystemClock},
+        once::ticket_issuer::TicketIssuer,
         profile::service_profile::AdmissionLimits,
+        request_context::AttemptId,
     },
     filter::{
-        identify_filter::RequestOrigin, inbound_chain::inbound_chain,
+        attempt_filter::ATTEMPT_LIMITS,
+        identify_filter::RequestOrigin,
+        inbound_chain::inbound_chain,
         outbound_handler::OutboundHandler,
+        ticket_filter::{self, TICKET_LIMITS},
     },
     settings::DaemonSettings,
     shell::{
@@ -31,6 +37,9 @@
 /// Longest wait for a change on the platform.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// Progress time of connections to a service without a profile.
+const DEFAULT_PROGRESS_TIME: Duration = Duration::from_secs(1);
+
 /// Pause after a failed call to the platform.
 const PLATFORM_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -50,6 +59,12 @@
     pub upstreams: UpstreamController,
     /// HTTP client.
     pub client: HttpClient,
+    /// Issuer of tickets.
+    pub tickets: Mutex<TicketIssuer>,
+    /// Runs of requests with a ticket.
+    pub ticket_runs: Arc<RunRecords<u64>>,
+    /// Runs of the attempts of other daemons.
+    pub attempts: Arc<RunRecords<AttemptId>>,
     /// Trace spans.
     pub spans: SpanRecorder,
 }
@@ -92,24 +107,42 @@
             )),
             upstreams: UpstreamController::new(
                 &settings.data_centre,
-                &settings.calls,
+                &known_services(&settings),
                 rand::random(),
             ),
             profiles: ProfileController::default(),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
+            tickets: Mutex::new(ticket_filter::new_issuer(
+                settings.data_centre.clone(),
+                settings.instance.clone(),
+                clock.now(),
+            )),
+            ticket_runs: Arc::new(RunRecords::new(TICKET_LIMITS, Arc::clone(&clock), false)),
+            attempts: Arc::new(RunRecords::new(ATTEMPT_LIMITS, Arc::clone(&clock), true)),
             spans,
             clock,
             settings,
         })
     }
 
+    /// Returns the time without a received byte after which a connection to a service is silent.
+    pub fn progress_time(&self, service: &str) -> Duration {
+        let in_force = self.profiles.get(service);
+        in_force.map_or(DEFAULT_PROGRESS_TIME, |entry| {
+            Duration::from_millis(entry.profile.progress_ms.into())
+        })
+    }
+
     async fn refresh(&self, platform: &PlatformClient) -> Result<(), ApplyError> {
         let own = &self.settings.service;
         self.profiles.refresh(platform, own).await?;
         if let Some(in_force) = self.profiles.get(own) {
             self.gate.set_limits(in_force.profile.admission.clone());
         }
+        // Tickets can name any instance of the own service.
+        let members = profile_controller::read_instances(platform, own).await?;
+        self.upstreams.update(own, &members, self.clock.now());
         for service in &self.settings.calls {
             self.profiles.refresh(platform, service).await?;
             let members = profile_controller::read_instances(platform, service).await?;
@@ -165,6 +198,15 @@
     Ok(())
 }
 
+/// Returns the own service and the called services.
+fn known_services(settings: &DaemonSettings) -> Vec<SmolStr> {
+    let mut services = settings.calls.clone();
+    if !services.contains(&settings.service) {
+        services.push(settings.service.clone());
+    }
+    services
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -254,3 +254,17 @@
     }
     panic!("{what} did not happen");
 }
+
+/// Runs a property on the same inputs each time.
+pub fn check(
+    size: u32,
+    mut property: impl FnMut(&mut arbtest::arbitrary::Unstructured) -> arbtest::arbitrary::Result<()>,
+) {
+    const RUNS: u64 = 500;
+    for run in 0..RUNS {
+        // The low half of a seed is the size of the input.
+        arbtest::arbtest(&mut property)
+            .seed(run << 32 | u64::from(size))
+            .run();
+    }
+}
