Test outcomes between daemons and ticket sessions with fakes on loopback

tests/peer_outcomes.rs has a test for each failure between two daemons; tests/tickets.rs sends duplicates through different daemons, during a restart of the executor, with differing lists of instances and over silent connections, and keeps a whole session as a golden file.

An attempt of a ticketed request that its executor cancelled is repeated there within the allowance, and is otherwise unknown: an earlier request with the ticket may have run.

--- a/src/controller/upstream_controller.rs
+++ b/src/controller/upstream_controller.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// Returns the attempts in flight to a service.
+    pub fn in_flight(&self, service: &str) -> u32 {
+        self.sets
+            .get(service)
+            .map_or(0, |set| set.lock().in_flight())
+    }
+
     /// Marks an upstream as leaving.
     pub fn mark_leaving(&self, service: &str, key: UpstreamKey) {
         if let Some(set) = self.sets.get(service) {
--- a/src/decision/routing/upstream_set.rs
+++ b/src/decision/routing/upstream_set.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Returns the attempts in flight to all upstreams.
+    pub fn in_flight(&self) -> u32 {
+        self.upstreams.values().map(|state| state.in_flight).sum()
+    }
+
     /// Returns the published data of an upstream.
     pub fn info(&self, key: UpstreamKey) -> Option<&InstanceInfo> {
         self.upstreams.get(key).map(|state| &state.info)
--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -137,11 +137,16 @@
             is_unknown |= end.outcome == RunOutcome::Unknown;
             let may_repeat = match end.outcome {
                 RunOutcome::Ran => return end.response,
+                // Another attempt at the executor of a ticket helps only when this one was lost.
+                RunOutcome::NotRun if call.ticket.is_some() => {
+                    is_unknown |= end.is_cancelled;
+                    end.is_cancelled
+                }
                 RunOutcome::NotRun => is_curable_elsewhere(&end.response),
-                RunOutcome::Unknown => call.is_idempotent,
+                RunOutcome::Unknown => call.is_idempotent && call.ticket.is_none(),
             };
             last = end.response;
-            if !may_repeat || call.ticket.is_some() || !call.body.is_repeatable() {
+            if !may_repeat || !call.body.is_repeatable() {
                 break;
             }
         }
--- a/src/filter/peer_attempt.rs
+++ b/src/filter/peer_attempt.rs
@@ -59,6 +59,8 @@
 pub struct AttemptEnd {
     /// What is known about the execution.
     pub outcome: RunOutcome,
+    /// Whether the upstream never saw the attempt and will refuse it.
+    pub is_cancelled: bool,
     /// Extra attempts that were not used.
     pub unused: u16,
     /// Response, or why there is none.
@@ -94,6 +96,7 @@
                 slot.finish(AttemptResult::Failed);
                 AttemptEnd {
                     outcome,
+                    is_cancelled: false,
                     // Nothing below this call ran when the attempt was never sent.
                     unused: if outcome == RunOutcome::NotRun {
                         self.slice
@@ -134,6 +137,11 @@
         });
         AttemptEnd {
             outcome,
+            is_cancelled: outcome == RunOutcome::NotRun
+                && parts
+                    .headers
+                    .get(header_names::REASON)
+                    .is_some_and(|value| value == RefusalError::Cancelled.reason()),
             unused: unused.unwrap_or_default().unwrap_or(0),
             response: Ok(Response::from_parts(parts, body)),
         }
--- a/src/standin/service_chain.rs
+++ b/src/standin/service_chain.rs
@@ -12,14 +12,28 @@
         platform_service::PlatformService,
     },
 };
-use std::{io, net::Ipv4Addr, path::PathBuf};
+use std::{
+    io,
+    net::Ipv4Addr,
+    path::PathBuf,
+    sync::{
+        OnceLock,
+        atomic::{AtomicU16, Ordering},
+    },
+};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 /// Interval of the checks whether a daemon is ready.
 const READY_POLL: Duration = Duration::from_millis(10);
 
-/// Ports for listeners, below the default range for outgoing connections.
-const FREE_PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// First port for listeners.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports of one process.
+const BLOCK_PORTS: u16 = 400;
+
+/// Blocks of ports; they end below the default range for outgoing connections.
+const BLOCKS: u16 = 55;
 
 /// Describes a chain before it starts.
 #[derive(Debug, Default)]
@@ -241,13 +255,41 @@
 }
 
 /// Finds a free port outside the range from which the operating system takes the local ports of
-/// outgoing connections; a port of that range can be taken before its listener opens.
+/// outgoing connections; a port of that range can be taken before its listener opens. For the same
+/// reason each process takes its ports in turn from a block that no other process uses.
 pub async fn free_address() -> io::Result<SocketAddr> {
+    static BLOCK: OnceLock<PortBlock> = OnceLock::new();
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let block = BLOCK.get_or_init(PortBlock::claim);
     loop {
-        let port = rand::random_range(FREE_PORTS);
+        let step = NEXT.fetch_add(1, Ordering::Relaxed) % (BLOCK_PORTS - 1);
+        let port = block.first + 1 + step;
         match TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await {
             Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
             bound => return bound?.local_addr(),
         }
     }
 }
+
+/// Block of ports, claimed by a listener on its first port for the life of the process.
+struct PortBlock {
+    first: u16,
+    _claim: Option<std::net::TcpListener>,
+}
+
+impl PortBlock {
+    fn claim() -> Self {
+        let claimed = (0..BLOCKS).find_map(|block| {
+            let first = FIRST_PORT + block * BLOCK_PORTS;
+            let claim = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
+            Some(Self {
+                first,
+                _claim: Some(claim),
+            })
+        });
+        claimed.unwrap_or(Self {
+            first: FIRST_PORT,
+            _claim: None,
+        })
+    }
+}
--- a/tests/backend_outcomes.rs
+++ b/tests/backend_outcomes.rs
@@ -17,7 +17,7 @@
 async fn start(backend: &RawServer) -> TestDaemon {
     let platform = TestPlatform::start(PROFILE).await;
     let settings = TestDaemon::settings("b-1", platform.address, backend.address).await;
-    TestDaemon::start(settings).await
+    TestDaemon::start(&platform, settings).await
 }
 
 async fn respond(act: Act, path: &str) -> Seen {
@@ -31,7 +31,7 @@
 async fn refused_connection_is_not_run() {
     let platform = TestPlatform::start(PROFILE).await;
     let settings = TestDaemon::settings("b-1", platform.address, free_address().await).await;
-    let daemon = TestDaemon::start(settings).await;
+    let daemon = TestDaemon::start(&platform, settings).await;
     let seen = call(daemon.settings.edge, "/plain", &[], "").await;
     assert_eq!(seen.summary(), "503 not-run no-upstream");
 }
--- /dev/null
+++ b/tests/peer_outcomes.rs
@@ -0,0 +1,316 @@
+//! Outcomes of failures between two daemons; one test for each row of the table in
+//! `docs/guarantees.md`.
+
+mod support;
+
+use skylarkstream::{
+    decision::routing::upstream_set::InstanceInfo, filter::upstream_slot::UpstreamSlot,
+    shell::daemon::DaemonState,
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use support::{
+    PROFILE, TestDaemon, TestPlatform, call_documents, free_address,
+    raw_server::{Act, RawRequest, RawServer, ok},
+    wait_until,
+};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+/// Daemon whose backend server calls `documents` at the given peers.
+async fn start(peers: &[SocketAddr]) -> TestDaemon {
+    let platform = TestPlatform::start(PROFILE).await;
+    let names = ["d-1", "d-2", "d-3", "d-4", "d-5", "d-6"];
+    let members: Vec<_> = names.into_iter().zip(peers.iter().copied()).collect();
+    platform.instances("documents", &members);
+    let settings = TestDaemon::settings("b-1", platform.address, free_address().await).await;
+    TestDaemon::start(&platform, settings).await
+}
+
+/// Response of a peer with its outcome.
+fn peer_response(request: &RawRequest, status: &str, outcome: &str, body: &str) -> String {
+    let attempt = request.header("skylark-attempt").unwrap_or_default();
+    let head = format!("HTTP/1.1 {status}\r\nskylark-attempt: {attempt}\r\n");
+    ok(body).replace(
+        "HTTP/1.1 200 OK\r\n",
+        &format!("{head}skylark-outcome: {outcome}\r\n"),
+    )
+}
+
+fn ran(request: &RawRequest) -> Act {
+    Act::Send(peer_response(request, "200 OK", "ran", "done"))
+}
+
+fn refused(request: &RawRequest) -> Act {
+    let text = peer_response(request, "503 Shed", "not-run", "");
+    Act::Send(text.replace(
+        "skylark-outcome",
+        "skylark-reason: queue-full\r\nskylark-outcome",
+    ))
+}
+
+fn is_check(request: &RawRequest) -> bool {
+    request.header("skylark-resume").is_some()
+}
+
+/// Attempts without the checks for their responses.
+fn attempts(peer: &RawServer) -> usize {
+    peer.requests()
+        .iter()
+        .filter(|request| !is_check(request))
+        .count()
+}
+
+/// Guards against "unknown" where no connection could be made.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connection_is_not_run() {
+    let daemon = start(&[free_address().await]).await;
+    let seen = call_documents(&daemon, "/plain", &[]).await;
+    assert_eq!(seen.summary(), "503 not-run no-upstream");
+}
+
+/// Guards against a second attempt, or "not run", after the peer read the request and closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn close_after_reading_is_unknown() {
+    let peer = RawServer::start(|_, _| Act::SendClose(String::new())).await;
+    let daemon = start(&[peer.address]).await;
+    let seen = call_documents(&daemon, "/plain", &[]).await;
+    assert_eq!(seen.summary(), "502 unknown broken");
+    assert_eq!(attempts(&peer), 1);
+}
+
+/// Guards against a lost response that is not asked for again.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_response_is_asked_for_again() {
+    let peer = RawServer::start(|_, request| match is_check(request) {
+        true => ran(request),
+        false => Act::SendClose(String::new()),
+    })
+    .await;
+    let daemon = start(&[peer.address]).await;
+    let seen = call_documents(&daemon, "/plain", &[]).await;
+    assert_eq!(seen.summary(), "200 ran done");
+    let ids: Vec<_> = peer
+        .requests()
+        .iter()
+        .map(|request| request.header("skylark-attempt").map(str::to_owned))
+        .collect();
+    assert!(
+        ids.len() > 1 && ids.iter().all(|id| *id == ids[0]),
+        "{ids:?}"
+    );
+}
+
+/// Guards against a retry of a route that is not idempotent, and for the idempotent one against a
+/// lost second attempt, after an attempt with an unknown end.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_is_retried_on_idempotent_routes_only() {
+    let broken = RawServer::start(|_, _| Act::SendClose(String::new())).await;
+    let other = RawServer::start(|_, _| Act::SendClose(String::new())).await;
+    let daemon = start(&[broken.address, other.address]).await;
+    let seen = call_documents(&daemon, "/plain", &[]).await;
+    assert_eq!(seen.summary(), "502 unknown broken");
+    assert_eq!(attempts(&broken) + attempts(&other), 1);
+    let seen = call_documents(&daemon, "/read", &[]).await;
+    assert_eq!(seen.summary(), "502 unknown broken");
+    assert_eq!(attempts(&broken) + attempts(&other), 3);
+}
+
+/// Guards against "not run" for a request whose first attempt has an unknown end and whose second is
+/// refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_after_unknown_is_unknown() {
+    // The first attempt breaks at whichever peer it reaches, and the second is refused.
+    let first = Arc::new(std::sync::Mutex::new(None::<String>));
+    let script = {
+        let first = Arc::clone(&first);
+        move |_: usize, request: &RawRequest| {
+            let id = request.header("skylark-attempt").unwrap().to_owned();
+            let mut first = first.lock().unwrap();
+            match *first.get_or_insert_with(|| id.clone()) == id {
+                true => Act::SendClose(String::new()),
+                false => refused(request),
+            }
+        }
+    };
+    let peers = [
+        RawServer::start(script.clone()).await,
+        RawServer::start(script).await,
+    ];
+    let daemon = start(&[peers[0].address, peers[1].address]).await;
+    let seen = call_documents(&daemon, "/read", &[]).await;
+    assert_eq!(seen.summary(), "502 unknown broken");
+    assert_eq!(attempts(&peers[0]) + attempts(&peers[1]), 2);
+}
+
+/// Guards against more attempts than the allowance of the entry, and against refusals that are not
+/// tried elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_retried_within_the_allowance() {
+    let mut peers = Vec::new();
+    for _ in 0..6 {
+        peers.push(RawServer::start(|_, request| refused(request)).await);
+    }
+    let addresses: Vec<_> = peers.iter().map(|peer| peer.address).collect();
+    let daemon = start(&addresses).await;
+    let seen = call_documents(&daemon, "/plain", &[]).await;
+    assert_eq!(seen.summary(), "503 not-run queue-full");
+    // The peers report no unused attempts, so that each attempt also spends its slice:
+    // of 3 the first takes 2, and the only extra attempt takes none.
+    assert_eq!(peers.iter().map(attempts).sum::<usize>(), 2);
+}
+
+/// Guards against a marked retry that costs nothing, and against a call of an ended request that
+/// starts over with a new allowance.
+#[tokio::test(flavor = "multi_thread")]
+async fn marked_retry_needs_allowance() {
+    let peer = RawServer::start(|_, request| ran(request)).await;
+    let daemon = start(&[peer.address]).await;
+    let ended = format!("{:032x}-{:016x}", 1, 2);
+    let headers = [("skylark-request", ended.as_str()), ("skylark-retry", "1")];
+    let seen = call_documents(&daemon, "/plain", &headers).await;
+    assert_eq!(seen.summary(), "503 not-run allowance-spent");
+    let seen = call_documents(&daemon, "/plain", &headers[1..]).await;
+    assert_eq!(seen.summary(), "200 ran done");
+    // Of the allowance of 3 the mark costs 1, and the attempt takes half of the rest.
+    assert_eq!(peer.requests()[0].header("skylark-allowance"), Some("1"));
+}
+
+/// Guards against a response to another attempt that reaches the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_to_another_attempt_is_unknown() {
+    let peer = RawServer::start(|_, request| {
+        let text = peer_response(request, "200 OK", "ran", "other");
+        let attempt = request.header("skylark-attempt").unwrap();
+        Act::Send(text.replace(attempt, "0000000000000001"))
+    })
+    .await;
+    let daemon = start(&[peer.address]).await;
+    let seen = call_documents(&daemon, "/plain", &[]).await;
+    assert_eq!(seen.summary(), "502 unknown wrong-attempt");
+}
+
+/// Guards against responses that pass to the next call when a peer sends one twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_response_reaches_nobody() {
+    let peer = RawServer::start(|number, request| {
+        let body = format!("response {number}");
+        let text = peer_response(request, "200 OK", "ran", &body);
+        Act::Send(if number == 0 {
+            text.clone() + &text
+        } else {
+            text
+        })
+    })
+    .await;
+    let daemon = start(&[peer.address]).await;
+    for number in 0..3 {
+        let seen = call_documents(&daemon, "/plain", &[]).await;
+        assert_eq!(seen.summary(), format!("200 ran response {number}"));
+    }
+}
+
+/// Guards against a short body from a peer that passes as complete or is not asked for again.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_body_is_asked_for_again() {
+    let peer = RawServer::start(|_, request| match is_check(request) {
+        true => ran(request),
+        false => {
+            let text = peer_response(request, "200 OK", "ran", "done");
+            Act::SendClose(text[..text.len() - 1].to_owned())
+        }
+    })
+    .await;
+    let daemon = start(&[peer.address]).await;
+    let seen = call_documents(&daemon, "/plain", &[]).await;
+    assert_eq!(seen.summary(), "200 ran done");
+}
+
+/// Guards against a streamed body that is cut short or goes silent and passes as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_streamed_body_is_aborted() {
+    for is_silent in [false, true] {
+        let peer = RawServer::start(move |_, request| {
+            let text = peer_response(request, "200 OK", "ran", "");
+            let text = text.replace("content-length: 0", "transfer-encoding: chunked");
+            let text = text + "5\r\nshort\r\n";
+            if is_silent {
+                Act::Send(text)
+            } else {
+                Act::SendClose(text)
+            }
+        })
+        .await;
+        let daemon = start(&[peer.address]).await;
+        let seen = call_documents(&daemon, "/plain", &[]).await;
+        assert_eq!(seen.summary(), "200 ran aborted");
+    }
+}
+
+/// Guards against a retry that keeps the deadline of the first attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_is_passed_down_less_the_time_spent() {
+    const WAIT: Duration = Duration::from_millis(30);
+    let late = |_: usize, request: &RawRequest| match refused(request) {
+        Act::Send(text) => Act::SendLate(WAIT, text),
+        act => act,
+    };
+    let peers = [RawServer::start(late).await, RawServer::start(late).await];
+    let daemon = start(&[peers[0].address, peers[1].address]).await;
+    call_documents(&daemon, "/read", &[]).await;
+    let mut left: Vec<u64> = peers
+        .iter()
+        .flat_map(RawServer::requests)
+        .map(|request| {
+            request
+                .header("skylark-deadline-us")
+                .unwrap()
+                .parse()
+                .unwrap()
+        })
+        .collect();
+    left.sort_unstable();
+    assert!(left[1] <= 1_500_000, "{left:?}");
+    assert!(left[0] + WAIT.as_micros() as u64 <= left[1], "{left:?}");
+}
+
+/// Guards against an attempt that goes on after its caller left.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_reaches_the_peer() {
+    let peer = RawServer::start(|_, _| Act::Hold).await;
+    let daemon = start(&[peer.address]).await;
+    let mut stream = TcpStream::connect(daemon.settings.outbound).await.unwrap();
+    let head = b"GET /plain HTTP/1.1\r\nhost: documents\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    wait_until("the arrival", || attempts(&peer) == 1).await;
+    drop(stream);
+    wait_until("the cancellation", || peer.cancelled() >= 1).await;
+}
+
+/// Guards against a cancelled attempt that stays in the in-flight count of its upstream.
+#[tokio::test]
+async fn dropped_attempt_gives_its_slot_back() {
+    let address = free_address().await;
+    let settings = TestDaemon::settings("b-1", address, address).await;
+    let daemon = Arc::new(DaemonState::new(settings).unwrap());
+    let info = InstanceInfo {
+        instance: "d-1".into(),
+        data_centre: "dc-1".into(),
+        peer: address,
+        control: address,
+        leaving: false,
+    };
+    daemon
+        .upstreams
+        .update("documents", &[info], Instant::now());
+    let (key, _) = daemon
+        .upstreams
+        .choose("documents", &[], Instant::now())
+        .unwrap();
+    let slot = UpstreamSlot::new(&daemon, &"documents".into(), key);
+    assert_eq!(daemon.upstreams.in_flight("documents"), 1);
+    drop(slot);
+    assert_eq!(daemon.upstreams.in_flight("documents"), 0);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, clippy::unwrap_used)]
 
 pub mod raw_server;
+pub mod silent_proxy;
 
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, Request, StatusCode};
@@ -12,11 +13,7 @@
     standin::platform_service::PlatformService,
 };
 use std::{net::SocketAddr, time::Duration};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
+use tokio::{net::TcpListener, sync::watch};
 
 /// Profile with a plain route, an idempotent route and a route that requires a ticket.
 pub const PROFILE: &str = r#"
@@ -89,6 +86,15 @@
     }
 }
 
+impl TestPlatform {
+    /// Publishes instances and waits until the only daemon of the platform has read them.
+    pub async fn change_instances(&self, service: &str, members: &[(&str, SocketAddr)]) {
+        let reads = self.service.reads();
+        self.instances(service, members);
+        wait_until("the change", || self.service.reads() >= reads + 7).await;
+    }
+}
+
 /// Daemon of the service `bookings`, which calls `documents`.
 pub struct TestDaemon {
     pub settings: DaemonSettings,
@@ -121,28 +127,24 @@
         }
     }
 
-    /// Runs a daemon until its profile is in force.
-    pub async fn start(settings: DaemonSettings) -> Self {
+    /// Runs a daemon until it has read the platform and waits for changes.
+    pub async fn start(platform: &TestPlatform, settings: DaemonSettings) -> Self {
+        let reads = platform.service.reads();
+        // Each service has its selection, its profile and its instances.
+        let expected = 2 + 3 * (1 + settings.calls.len() as u64);
         let stop = watch::Sender::new(false);
         let run = daemon::run(settings.clone(), stop.subscribe());
-        let task = tokio::spawn(async move {
-            let _ = run.await;
-        });
+        let task = tokio::spawn(async move { run.await.expect("a running daemon") });
         let daemon = Self {
             settings,
             task,
             _stop: stop,
         };
-        let ready = async {
-            while !daemon.is_ready().await {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-        };
-        tokio::time::timeout(Duration::from_secs(10), ready)
-            .await
-            .expect("a ready daemon");
-        // The lists of instances are read after the own profile.
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        wait_until("the start of the daemon", || {
+            assert!(!daemon.task.is_finished(), "The daemon ended.");
+            platform.service.reads() >= reads + expected
+        })
+        .await;
         daemon
     }
 
@@ -152,17 +154,6 @@
         let _ = self.task.await;
         self.settings
     }
-
-    async fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.settings.admin).await else {
-            return false;
-        };
-        let head = "GET /status HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-        let mut text = String::new();
-        let _ = stream.write_all(head.as_bytes()).await;
-        let _ = stream.read_to_string(&mut text).await;
-        text.contains("\"profile_version\":1")
-    }
 }
 
 /// Response as its caller sees it.
--- /dev/null
+++ b/tests/tickets.rs
@@ -0,0 +1,271 @@
+//! Requests with tickets, and attempts on silent connections, through real daemons.
+
+mod support;
+
+use std::{fmt::Write, net::SocketAddr, time::Duration};
+use support::{
+    PROFILE, Seen, TestDaemon, TestPlatform, call, call_documents, free_address,
+    raw_server::{Act, RawServer, ok},
+    silent_proxy::{Loss, SilentProxy},
+    ticket, wait_until,
+};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+/// Two daemons of one service, each with the list of instances that it is given.
+struct Pair {
+    platforms: [TestPlatform; 2],
+    daemons: [TestDaemon; 2],
+    backends: [RawServer; 2],
+}
+
+impl Pair {
+    /// Starts the daemons with equal lists.
+    async fn start() -> Self {
+        let pair = Self::start_unlisted().await;
+        let [first, second] = pair.peers();
+        for platform in &pair.platforms {
+            platform
+                .change_instances("bookings", &[("b-1", first), ("b-2", second)])
+                .await;
+        }
+        pair
+    }
+
+    async fn start_unlisted() -> Self {
+        let slow = |number: usize, _: &_| {
+            Act::SendLate(Duration::from_millis(100), ok(&format!("run {number}")))
+        };
+        let backends = [RawServer::start(slow).await, RawServer::start(slow).await];
+        let platforms = [
+            TestPlatform::start(PROFILE).await,
+            TestPlatform::start(PROFILE).await,
+        ];
+        let first = TestDaemon::settings("b-1", platforms[0].address, backends[0].address).await;
+        let second = TestDaemon::settings("b-2", platforms[1].address, backends[1].address).await;
+        let daemons = [
+            TestDaemon::start(&platforms[0], first).await,
+            TestDaemon::start(&platforms[1], second).await,
+        ];
+        Self {
+            platforms,
+            daemons,
+            backends,
+        }
+    }
+
+    fn peers(&self) -> [SocketAddr; 2] {
+        [self.daemons[0].settings.peer, self.daemons[1].settings.peer]
+    }
+
+    fn edges(&self) -> [SocketAddr; 2] {
+        [self.daemons[0].settings.edge, self.daemons[1].settings.edge]
+    }
+
+    fn runs(&self) -> usize {
+        self.backends.iter().map(RawServer::runs).sum()
+    }
+}
+
+async fn book(edge: SocketAddr, ticket: &str) -> Seen {
+    call(edge, "/book", &[("skylark-ticket", ticket)], "seat 4").await
+}
+
+/// Guards against a change in any response of a session with tickets.
+#[tokio::test(flavor = "multi_thread")]
+async fn ticket_session() {
+    let pair = Pair::start().await;
+    let [edge, other] = pair.edges();
+    let issued = ticket(edge).await;
+    let forged = issued.replace("/b-1/", "/b-9/");
+    let broken = format!("{}0", &issued[..issued.len() - 1]);
+    let broken = if broken == issued {
+        format!("{}1", &issued[..issued.len() - 1])
+    } else {
+        broken
+    };
+    let mut session = String::new();
+    let steps: [(&str, SocketAddr, &str, Option<&str>); 9] = [
+        ("no ticket", edge, "/book", None),
+        ("first use", edge, "/book", Some(&issued)),
+        ("repeat", edge, "/book", Some(&issued)),
+        (
+            "repeat through another daemon",
+            other,
+            "/book",
+            Some(&issued),
+        ),
+        ("use for another path", edge, "/book/2", Some(&issued)),
+        ("changed code", edge, "/book", Some(&broken)),
+        ("unreadable", edge, "/book", Some("x")),
+        ("executor not in view", edge, "/book", Some(&forged)),
+        ("route without a rule", edge, "/plain", None),
+    ];
+    for (step, address, path, ticket) in steps {
+        let headers: Vec<_> = ticket
+            .map(|text| ("skylark-ticket", text))
+            .into_iter()
+            .collect();
+        let seen = call(address, path, &headers, "seat 4").await;
+        writeln!(session, "{step}: {}", seen.summary()).unwrap();
+        for (name, value) in &seen.headers {
+            let value = match name.as_str() {
+                "date" => continue,
+                "skylark-ticket" => "<ticket>",
+                _ => value.to_str().unwrap(),
+            };
+            writeln!(session, "  {name}: {value}").unwrap();
+        }
+        writeln!(session, "  {}", seen.body.unwrap()).unwrap();
+    }
+    writeln!(session, "runs: {}", pair.runs()).unwrap();
+    insta::assert_snapshot!(session);
+}
+
+/// Guards against a second run when duplicates arrive at once through different daemons, and against
+/// a duplicate that gets another response.
+#[tokio::test(flavor = "multi_thread")]
+async fn duplicates_through_different_daemons_run_once() {
+    let pair = Pair::start().await;
+    let issued = ticket(pair.edges()[0]).await;
+    let calls = (0..8).map(|number| book(pair.edges()[number % 2], &issued));
+    for seen in futures_util::future::join_all(calls).await {
+        assert_eq!(seen.summary(), "200 ran run 0");
+    }
+    assert_eq!(pair.runs(), 1);
+}
+
+/// Guards against a second run, or "not run", after the executor restarted during the run.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_executor_answers_unknown() {
+    let pair = Pair::start().await;
+    let [edge, other] = pair.edges();
+    let issued = ticket(edge).await;
+    let first = tokio::spawn({
+        let issued = issued.clone();
+        async move { book(edge, &issued).await }
+    });
+    wait_until("the run", || pair.runs() == 1).await;
+    let Pair {
+        daemons,
+        backends,
+        platforms,
+    } = pair;
+    let [executor, _forwarder] = daemons;
+    let settings = executor.kill().await;
+    let away = book(other, &issued).await;
+    assert_eq!(away.summary(), "503 unknown executor-away");
+    let executor = TestDaemon::start(&platforms[0], settings).await;
+    for address in [executor.settings.edge, other] {
+        let seen = book(address, &issued).await;
+        assert_eq!(seen.summary(), "409 unknown executor-restarted");
+    }
+    first.await.unwrap();
+    assert_eq!(backends.iter().map(RawServer::runs).sum::<usize>(), 1);
+    drop(platforms);
+}
+
+/// Guards against a run at another instance when the lists of instances differ.
+#[tokio::test(flavor = "multi_thread")]
+async fn differing_lists_do_not_run_twice() {
+    let pair = Pair::start_unlisted().await;
+    let [edge, other] = pair.edges();
+    let issued = ticket(edge).await;
+    // The second daemon does not list the executor, then lists another address under its name.
+    assert_eq!(
+        book(other, &issued).await.summary(),
+        "503 unknown executor-away"
+    );
+    let second = pair.peers()[1];
+    pair.platforms[1]
+        .change_instances("bookings", &[("b-1", second), ("b-2", second)])
+        .await;
+    let looped = book(other, &issued).await;
+    assert_eq!(looped.outcome(), "unknown");
+    assert_eq!(pair.runs(), 0);
+    pair.platforms[1]
+        .change_instances("bookings", &[("b-1", pair.peers()[0])])
+        .await;
+    for address in [other, edge, other] {
+        assert_eq!(book(address, &issued).await.summary(), "200 ran run 0");
+    }
+    assert_eq!(pair.runs(), 1);
+}
+
+/// Guards against a response that is lost, or a second run, when the connection to the executor goes
+/// silent after or before the request arrives, also twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_delivers_the_response() {
+    for (silent, loss) in [
+        (1, Loss::Responses),
+        (2, Loss::Responses),
+        (1, Loss::Requests),
+    ] {
+        let pair = Pair::start_unlisted().await;
+        let [edge, other] = pair.edges();
+        let proxy = SilentProxy::start(pair.peers()[0], silent, loss).await;
+        pair.platforms[1]
+            .change_instances("bookings", &[("b-1", proxy.address)])
+            .await;
+        let issued = ticket(edge).await;
+        assert_eq!(book(other, &issued).await.summary(), "200 ran run 0");
+        proxy.deliver();
+        wait_until("the late delivery", || proxy.delivered() == silent).await;
+        assert_eq!(pair.runs(), 1);
+    }
+}
+
+/// Guards against a ticketed run that ends with the connection of its first caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_gets_the_response_after_the_caller_left() {
+    let pair = Pair::start().await;
+    let edge = pair.edges()[0];
+    let issued = ticket(edge).await;
+    let mut stream = TcpStream::connect(edge).await.unwrap();
+    let head = format!(
+        "POST /book HTTP/1.1\r\nhost: x\r\nskylark-ticket: {issued}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    wait_until("the run", || pair.runs() == 1).await;
+    drop(stream);
+    assert_eq!(book(edge, &issued).await.summary(), "200 ran run 0");
+    assert_eq!(pair.runs(), 1);
+}
+
+/// Guards against "not run" from a daemon that cannot know whether an earlier request with the
+/// ticket ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_away_from_the_record_is_unknown() {
+    let pair = Pair::start().await;
+    let daemon = &pair.daemons[0];
+    let issued = ticket(daemon.settings.edge).await;
+    let seen = call_documents(daemon, "/book", &[("skylark-ticket", &issued)]).await;
+    assert_eq!(seen.summary(), "503 unknown executor-away");
+}
+
+/// Guards against an attempt without a ticket that is lost, or runs after it was answered with "not
+/// run", when its connection goes silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_attempt_is_resumed_or_cancelled() {
+    for (loss, summary) in [
+        (Loss::Responses, "200 ran run 0"),
+        (Loss::Requests, "409 not-run cancelled"),
+    ] {
+        let platform = TestPlatform::start(PROFILE).await;
+        let documents_platform = TestPlatform::start(PROFILE).await;
+        let backend = RawServer::counting().await;
+        let mut settings =
+            TestDaemon::settings("d-1", documents_platform.address, backend.address).await;
+        settings.service = "documents".into();
+        settings.calls = Vec::new();
+        let documents = TestDaemon::start(&documents_platform, settings).await;
+        let proxy = SilentProxy::start(documents.settings.peer, 1, loss).await;
+        platform.instances("documents", &[("d-1", proxy.address)]);
+        let settings = TestDaemon::settings("b-1", platform.address, free_address().await).await;
+        let caller = TestDaemon::start(&platform, settings).await;
+        let seen = call_documents(&caller, "/plain", &[]).await;
+        assert_eq!(seen.summary(), summary);
+        proxy.deliver();
+        wait_until("the late delivery", || proxy.delivered() == 1).await;
+        assert_eq!(backend.runs(), usize::from(loss == Loss::Responses));
+    }
+}
