--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -242,6 +242,75 @@
     assert_eq!(seen.summary(), "503 unknown executor-away");
 }
 
+/// Guards against a ticket that runs after its expiry, when its record may be gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn expired_ticket_is_unknown() {
+    let profile = PROFILE.replace(
+        "[[routes]]\npath = \"/read",
+        "ticket_ms = 1\n\n[[routes]]\npath = \"/read",
+    );
+    assert_ne!(profile, PROFILE);
+    let platform = TestPlatform::start(&profile).await;
+    let backend = RawServer::counting().await;
+    let settings = TestDaemon::settings("b-1", platform.address, backend.address).await;
+    let daemon = TestDaemon::start(&platform, settings).await;
+    let issued = ticket(daemon.settings.edge).await;
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let seen = book(daemon.settings.edge, &issued).await;
+    assert_eq!(seen.summary(), "409 unknown ticket-expired");
+    assert_eq!(backend.runs(), 0);
+}
+
+/// Daemon whose backend server calls a second daemon of `documents`, at its own address or through
+/// a proxy.
+struct TwoServices {
+    caller: TestDaemon,
+    proxy: Option<SilentProxy>,
+    _documents: TestDaemon,
+}
+
+impl TwoServices {
+    async fn start(backend: &RawServer, loss: Option<Loss>) -> Self {
+        let platforms = [
+            TestPlatform::start(PROFILE).await,
+            TestPlatform::start(PROFILE).await,
+        ];
+        let mut settings = TestDaemon::settings("d-1", platforms[0].address, backend.address).await;
+        settings.service = "documents".into();
+        settings.calls = Vec::new();
+        let documents = TestDaemon::start(&platforms[0], settings).await;
+        let peer = documents.settings.peer;
+        let proxy = match loss {
+            Some(loss) => Some(SilentProxy::start(peer, 1, loss).await),
+            None => None,
+        };
+        let address = proxy.as_ref().map_or(peer, |proxy| proxy.address);
+        platforms[1].instances("documents", &[("d-1", address)]);
+        let address = free_address().await;
+        let settings = TestDaemon::settings("b-1", platforms[1].address, address).await;
+        Self {
+            caller: TestDaemon::start(&platforms[1], settings).await,
+            proxy,
+            _documents: documents,
+        }
+    }
+}
+
+/// Guards against work that continues behind a second daemon after the caller left.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_passes_both_daemons() {
+    let backend = RawServer::start(|_, _| Act::Hold).await;
+    let services = TwoServices::start(&backend, None).await;
+    let address = services.caller.settings.outbound;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = b"GET /plain HTTP/1.1\r\nhost: documents\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    wait_until("the run", || backend.runs() == 1).await;
+    assert_eq!(backend.cancelled(), 0);
+    drop(stream);
+    wait_until("the cancellation", || backend.cancelled() == 1).await;
+}
+
 /// Guards against an attempt without a ticket that is lost, or runs after it was answered with "not
 /// run", when its connection goes silent.
 #[tokio::test(flavor = "multi_thread")]
@@ -250,20 +319,11 @@
         (Loss::Responses, "200 ran run 0"),
         (Loss::Requests, "409 not-run cancelled"),
     ] {
-        let platform = TestPlatform::start(PROFILE).await;
-        let documents_platform = TestPlatform::start(PROFILE).await;
         let backend = RawServer::counting().await;
-        let mut settings =
-            TestDaemon::settings("d-1", documents_platform.address, backend.address).await;
-        settings.service = "documents".into();
-        settings.calls = Vec::new();
-        let documents = TestDaemon::start(&documents_platform, settings).await;
-        let proxy = SilentProxy::start(documents.settings.peer, 1, loss).await;
-        platform.instances("documents", &[("d-1", proxy.address)]);
-        let settings = TestDaemon::settings("b-1", platform.address, free_address().await).await;
-        let caller = TestDaemon::start(&platform, settings).await;
-        let seen = call_documents(&caller, "/plain", &[]).await;
+        let services = TwoServices::start(&backend, Some(loss)).await;
+        let seen = call_documents(&services.caller, "/plain", &[]).await;
         assert_eq!(seen.summary(), summary);
+        let proxy = services.proxy.unwrap();
         proxy.deliver();
         wait_until("the late delivery", || proxy.delivered() == 1).await;
         assert_eq!(backend.runs(), usize::from(loss == Loss::Responses));
