Give the cancellation tests a deadline that cannot pass for a cancellation

With a deadline of 2 s the tests passed also when the cancellation was removed, because the daemon gives up the request at its deadline. With 60 s cancellation_passes_both_daemons fails in that case.

--- a/tests/backend_outcomes.rs
+++ b/tests/backend_outcomes.rs
@@ -175,7 +175,7 @@
     let backend = RawServer::start(|_, _| Act::Hold).await;
     let daemon = start(&backend).await;
     let mut stream = TcpStream::connect(daemon.settings.edge).await.unwrap();
-    let head = b"GET /plain HTTP/1.1\r\nhost: x\r\n\r\n";
+    let head = b"GET /long HTTP/1.1\r\nhost: x\r\n\r\n";
     stream.write_all(head).await.unwrap();
     wait_until("the arrival", || backend.runs() == 1).await;
     drop(stream);
--- a/tests/peer_outcomes.rs
+++ b/tests/peer_outcomes.rs
@@ -282,7 +282,7 @@
     let peer = RawServer::start(|_, _| Act::Hold).await;
     let daemon = start(&[peer.address]).await;
     let mut stream = TcpStream::connect(daemon.settings.outbound).await.unwrap();
-    let head = b"GET /plain HTTP/1.1\r\nhost: documents\r\n\r\n";
+    let head = b"GET /long HTTP/1.1\r\nhost: documents\r\n\r\n";
     stream.write_all(head).await.unwrap();
     wait_until("the arrival", || attempts(&peer) == 1).await;
     drop(stream);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -34,6 +34,11 @@
 class = "booking"
 deadline_ms = 250
 
+[[routes]]
+path = "/long"
+class = "booking"
+deadline_ms = 60000
+
 [[routes]]
 path = "/book"
 class = "booking"
--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -303,7 +303,7 @@
     let services = TwoServices::start(&backend, None).await;
     let address = services.caller.settings.outbound;
     let mut stream = TcpStream::connect(address).await.unwrap();
-    let head = b"GET /plain HTTP/1.1\r\nhost: documents\r\n\r\n";
+    let head = b"GET /long HTTP/1.1\r\nhost: documents\r\n\r\n";
     stream.write_all(head).await.unwrap();
     wait_until("the run", || backend.runs() == 1).await;
     assert_eq!(backend.cancelled(), 0);
