--- a/src/decision/profile/refusal_rule.rs
+++ b/src/decision/profile/refusal_rule.rs
@@ -2,21 +2,28 @@
 
 use crate::common::*;
 
-/// Status and header with which a backend server states that it did not run a request.
+/// Response by which a backend server says that it did not run a request.
 #[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct RefusalRule {
-    /// HTTP status.
+    /// HTTP status, 400 to 599.
     pub status: u16,
-    /// Name of the header.
+    /// Name of a response header, in lower case.
     pub header: SmolStr,
-    /// Value of the header.
-    pub value: SmolStr,
+    /// Value of the header; absent matches every value.
+    #[serde(default)]
+    pub value: Option<SmolStr>,
 }
 
 impl RefusalRule {
-    /// Returns whether a response head is the published refusal.
-    pub fn matches(&self, status: u16, header: impl Fn(&str) -> Option<SmolStr>) -> bool {
-        self.status == status && header(&self.header).as_ref() == Some(&self.value)
+    /// Returns whether a response with `status` is this refusal. `header` looks up a response
+    /// header by name.
+    pub fn matches<'a>(&self, status: u16, header: impl Fn(&str) -> Option<&'a [u8]>) -> bool {
+        status == self.status
+            && header(&self.header).is_some_and(|found| {
+                self.value
+                    .as_ref()
+                    .is_none_or(|value| value.as_bytes() == found)
+            })
     }
 }
--- a/src/filter.rs
+++ b/src/filter.rs
@@ -13,6 +13,7 @@
 pub mod inbound_chain;
 pub mod ledger_filter;
 pub mod ledger_guard;
+pub mod metrics_filter;
 pub mod outbound_handler;
 pub mod outgoing_call;
 pub mod peer_attempt;
--- a/src/filter/backend_handler.rs
+++ b/src/filter/backend_handler.rs
@@ -7,8 +7,8 @@
         run_outcome::RunOutcome,
     },
     filter::{
-        admission_filter::PermitState, identify_filter::CallState, refusal::RefusalError,
-        request_headers, response_body::TrackedBody,
+        admission_filter::PermitState, identify_filter::CallState, metrics_filter::BackendTime,
+        refusal::RefusalError, request_headers, response_body::TrackedBody,
     },
     shell::{
         daemon::DaemonState,
@@ -64,6 +64,7 @@
             Ok(response) => self.response_outcome(response),
             Err(error) => error.outcome(),
         };
+        state.put(BackendTime(self.daemon.clock.now() - start));
         self.daemon.spans.record(HopSpan {
             request: context.request,
             span: context.call,
@@ -134,14 +135,22 @@
     }
 
     fn response_outcome(&self, response: &Response<PooledBody>) -> RunOutcome {
+        let status = response.status().as_u16();
+        let header = |name: &str| {
+            response
+                .headers()
+                .get(name)
+                .map(http::HeaderValue::as_bytes)
+        };
         let in_force = self.daemon.profiles.get(&self.daemon.settings.service);
-        let rule = in_force
-            .as_ref()
-            .and_then(|entry| entry.profile.refusal.as_ref());
-        let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.into());
-        match rule {
-            Some(rule) if rule.matches(response.status().as_u16(), header) => RunOutcome::NotRun,
-            _ => RunOutcome::Ran,
+        let is_refusal = in_force.is_some_and(|entry| {
+            let mut rules = entry.profile.refusals.iter();
+            rules.any(|rule| rule.matches(status, header))
+        });
+        if is_refusal {
+            RunOutcome::NotRun
+        } else {
+            RunOutcome::Ran
         }
     }
 
--- a/src/filter/inbound_chain.rs
+++ b/src/filter/inbound_chain.rs
@@ -9,6 +9,7 @@
         classify_filter::ClassifyFilter,
         identify_filter::{IdentifyFilter, RequestOrigin},
         ledger_filter::LedgerFilter,
+        metrics_filter::MetricsFilter,
         ticket_filter::TicketFilter,
     },
     shell::daemon::DaemonState,
@@ -39,6 +40,9 @@
 pub fn inbound_chain(daemon: &Arc<DaemonState>, origin: RequestOrigin) -> Router {
     let (chain, pipelines) = single_pipeline(
         new_pipeline()
+            .add(MetricsFilter {
+                daemon: Arc::clone(daemon),
+            })
             .add(IdentifyFilter {
                 daemon: Arc::clone(daemon),
                 origin,
--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -132,6 +132,9 @@
             if !tried.is_empty() && !self.take_extra(&call.context) {
                 break;
             }
+            self.daemon
+                .metrics
+                .count_attempt(&call.service, !tried.is_empty());
             tried.push(key);
             let end = self.send_attempt(&mut call, slot, &info).await;
             is_unknown |= end.outcome == RunOutcome::Unknown;
--- a/src/filter/ticket_filter.rs
+++ b/src/filter/ticket_filter.rs
@@ -90,7 +90,7 @@
         if rule.ticket != TicketRule::Required {
             return None;
         }
-        let valid = Duration::from_millis(profile.ticket_ms.into());
+        let valid = Duration::from_secs(profile.ticket.lifetime_s.into());
         let now = self.daemon.clock.now();
         let ticket = self.daemon.tickets.lock().issue(valid, now);
         Some(RefusalError::TicketRequired(ticket.to_string().into()))
--- /dev/null
+++ b/tests/scenarios/model.rs
@@ -0,0 +1,195 @@
+//! Services, instances and faults of the scenarios.
+
+use indexmap::IndexMap;
+use skylarkstream::decision::{
+    admission::admission_gate::{AdmissionGate, GateKey},
+    admission::service_threshold::ServiceThreshold,
+    profile::service_profile::{AdmissionLimits, RetryLimits},
+    retry::retry_budget::RetryBudget,
+    routing::upstream_set::{InstanceInfo, UpstreamKey, UpstreamSet},
+};
+use std::{
+    collections::VecDeque,
+    net::{Ipv4Addr, SocketAddr},
+    ops::Range,
+    time::{Duration, Instant},
+};
+
+slotmap::new_key_type! {
+    pub struct CallKey;
+}
+
+/// Time in which a cold instance reaches its normal service time, in seconds.
+const WARM_UP_S: f64 = 5.0;
+
+/// Classes and their share of the demand.
+pub const CLASSES: [(u8, f64); 3] = [(0, 0.08), (1, 0.22), (4, 0.7)];
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Control {
+    None,
+    Fixed,
+    Full,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// The deepest service slows down by a factor.
+    Slow(f64),
+    /// Demand grows by a factor.
+    Surge(f64),
+    /// A third of the instances of the deepest service is replaced by cold ones.
+    Cold,
+    /// The data centres lose each other.
+    CutOff,
+    /// The daemon of an instance does not run.
+    Pause(usize),
+    /// Half of the calls to an instance are lost on silent connections.
+    Silent(usize),
+}
+
+/// Name, instances, slots of each and mean service time in milliseconds.
+pub type Service = (&'static str, usize, usize, u64);
+
+#[derive(Clone)]
+pub struct Scenario {
+    pub name: &'static str,
+    pub seed: u64,
+    pub services: Vec<Service>,
+    /// Demand as a share of the capacity of the deepest service.
+    pub demand: f64,
+    pub length: Duration,
+    /// Faults with their start and end.
+    pub faults: Vec<(Fault, Duration, Duration)>,
+}
+
+impl Scenario {
+    /// Returns the value of the first fault that `read` accepts, with its span.
+    pub fn fault<T>(&self, read: impl Fn(Fault) -> Option<T>) -> Option<(T, Range<Duration>)> {
+        let mut faults = self.faults.iter();
+        faults.find_map(|(fault, from, to)| Some((read(*fault)?, *from..*to)))
+    }
+
+    /// Like [`Scenario::fault`], for a fault that is present at `now`.
+    pub fn active<T>(&self, now: Duration, read: impl Fn(Fault) -> Option<T>) -> Option<T> {
+        let found = self.fault(read).filter(|(_, span)| span.contains(&now));
+        found.map(|(value, _)| value)
+    }
+
+    /// Capacity of the deepest service in requests per second, without faults.
+    pub fn capacity(&self) -> f64 {
+        let (_, instances, slots, service_ms) = self.services[self.services.len() - 1];
+        (instances * slots) as f64 * 1_000.0 / service_ms as f64
+    }
+
+    /// Time from the first to the last fault.
+    pub fn trigger(&self) -> Range<Duration> {
+        let from = self.faults.iter().map(|(_, from, _)| *from).min();
+        let to = self.faults.iter().map(|(_, _, to)| *to).max();
+        from.unwrap_or(self.length)..to.unwrap_or(self.length)
+    }
+
+    /// Factor on the service time of an instance.
+    pub fn slowness(&self, instance: &Instance, now: Duration) -> f64 {
+        if instance.next_service.is_some() {
+            return 1.0;
+        }
+        let cold = self.fault(|fault| (fault == Fault::Cold).then_some(()));
+        let cold = match cold {
+            Some((_, span)) if instance.is_replaced && now >= span.start => {
+                5.0 - 4.0 * ((now - span.start).as_secs_f64() / WARM_UP_S).min(1.0)
+            }
+            _ => 1.0,
+        };
+        cold * self.active(now, slow_factor).unwrap_or(1.0)
+    }
+}
+
+pub fn slow_factor(fault: Fault) -> Option<f64> {
+    match fault {
+        Fault::Slow(factor) => Some(factor),
+        _ => None,
+    }
+}
+
+pub struct Instance {
+    pub service: usize,
+    pub name: &'static str,
+    pub data_centre: usize,
+    pub is_replaced: bool,
+    pub slots: usize,
+    pub service_time: Duration,
+    pub busy: usize,
+    pub fifo: VecDeque<CallKey>,
+    pub gate: AdmissionGate,
+    pub waiting: IndexMap<GateKey, CallKey>,
+    pub next_service: Option<usize>,
+    pub set: UpstreamSet,
+    pub budget: RetryBudget,
+    /// Learned thresholds, by service.
+    pub thresholds: Vec<ServiceThreshold>,
+}
+
+impl Instance {
+    pub fn all(scenario: &Scenario, now: Instant) -> Vec<Self> {
+        let depth = scenario.services.len();
+        let mut all = Vec::new();
+        for (service, (name, instances, slots, service_ms)) in scenario.services.iter().enumerate()
+        {
+            for index in 0..*instances {
+                all.push(Self {
+                    service,
+                    name,
+                    data_centre: index % 2,
+                    is_replaced: index < instances / 3 && service + 1 == depth,
+                    slots: *slots,
+                    service_time: Duration::from_millis(*service_ms),
+                    busy: 0,
+                    fifo: VecDeque::new(),
+                    gate: AdmissionGate::new(AdmissionLimits::default()),
+                    waiting: IndexMap::new(),
+                    next_service: (service + 1 < depth).then_some(service + 1),
+                    set: UpstreamSet::new(dc(index % 2), scenario.seed + all.len() as u64),
+                    budget: RetryBudget::new(&RetryLimits::default()),
+                    thresholds: vec![ServiceThreshold::default(); depth],
+                });
+            }
+        }
+        Self::update_sets(&mut all, 0, now);
+        all
+    }
+
+    /// Chooses an upstream of the next service.
+    pub fn choose(&mut self, tried: &[UpstreamKey], now: Instant) -> Option<(UpstreamKey, usize)> {
+        let key = self.set.choose(tried, now)?;
+        let port = self.set.info(key)?.peer.port();
+        Some((key, usize::from(port % 1_000)))
+    }
+
+    /// Publishes the instances; replaced ones have moved by `offset` ports.
+    pub fn update_sets(all: &mut [Self], offset: u16, now: Instant) {
+        let address = |index: usize, instance: &Self| {
+            let moved = if instance.is_replaced { offset } else { 0 };
+            SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + index as u16 + moved))
+        };
+        let info = |(index, instance): (usize, &Self)| InstanceInfo {
+            instance: format!("{}-{index}", instance.name).into(),
+            data_centre: dc(instance.data_centre),
+            peer: address(index, instance),
+            control: address(index, instance),
+            leaving: false,
+        };
+        let infos: Vec<InstanceInfo> = all.iter().enumerate().map(info).collect();
+        let services: Vec<usize> = all.iter().map(|instance| instance.service).collect();
+        for instance in all {
+            let is_called = |index: &usize| Some(services[*index]) == instance.next_service;
+            let called = (0..infos.len()).filter(is_called);
+            let members: Vec<InstanceInfo> = called.map(|index| infos[index].clone()).collect();
+            instance.set.update(&members, now);
+        }
+    }
+}
+
+fn dc(index: usize) -> smol_str::SmolStr {
+    format!("dc-{index}").into()
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use skylarkstream::{
-    settings::DaemonSettings,
+    settings::{DaemonSettings, LogSettings},
     shell::{daemon, header_names, http_client::HttpClient, http_server},
     standin::platform_service::PlatformService,
 };
@@ -20,8 +20,8 @@
 name = "bookings"
 default_class = "booking"
 classes = { booking = 0 }
-progress_ms = 200
-refusal = { status = 503, header = "x-refused", value = "busy" }
+upstream = { progress_time_ms = 200 }
+refusals = [{ status = 503, header = "x-refused", value = "busy" }]
 
 [[routes]]
 path = "/read"
@@ -129,6 +129,8 @@
             seed_peers: Vec::new(),
             calls: vec!["documents".into()],
             trace_file: None,
+            trace_endpoint: None,
+            log: LogSettings::default(),
         }
     }
 
--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -247,7 +247,7 @@
 async fn expired_ticket_is_unknown() {
     let profile = PROFILE.replace(
         "[[routes]]\npath = \"/read",
-        "ticket_ms = 1\n\n[[routes]]\npath = \"/read",
+        "ticket = { lifetime_s = 1 }\n\n[[routes]]\npath = \"/read",
     );
     assert_ne!(profile, PROFILE);
     let platform = TestPlatform::start(&profile).await;
@@ -255,7 +255,7 @@
     let settings = TestDaemon::settings("b-1", platform.address, backend.address).await;
     let daemon = TestDaemon::start(&platform, settings).await;
     let issued = ticket(daemon.settings.edge).await;
-    tokio::time::sleep(Duration::from_millis(5)).await;
+    tokio::time::sleep(Duration::from_millis(1_010)).await;
     let seen = book(daemon.settings.edge, &issued).await;
     assert_eq!(seen.summary(), "409 unknown ticket-expired");
     assert_eq!(backend.runs(), 0);
