Count extra attempts against the retry budget of the target service

Marked retries count, too. The budget is asked only when the allowance of the request has a rest. Idle connections end after 4 s instead of 30 s, before a draining daemon closes them.

--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -70,7 +70,12 @@
         } else {
             None
         };
-        if call.is_marked_retry && !self.take_extra(&call.context) {
+        if !call.is_marked_retry {
+            let now = self.daemon.clock.now();
+            self.daemon
+                .retry_budgets
+                .on_first(&call.service, &call.retry, now);
+        } else if !self.take_extra(&call) {
             return Err(RefusalError::AllowanceSpent);
         }
         self.send_call(call).await
@@ -103,6 +108,7 @@
         request_headers::strip_hop_by_hop(&mut headers);
         let path = uri.path_and_query().cloned();
         let call = OutgoingCall {
+            retry: profile.retry.clone(),
             is_idempotent: rule.map_or(method.is_safe(), |rule| rule.idempotent),
             is_marked_retry,
             ticket,
@@ -129,7 +135,7 @@
                 last = Err(RefusalError::DeadlineBefore);
                 break;
             }
-            if !tried.is_empty() && !self.take_extra(&call.context) {
+            if !tried.is_empty() && !self.take_extra(&call) {
                 break;
             }
             self.daemon
@@ -170,11 +176,19 @@
         }
     }
 
-    fn take_extra(&self, context: &RequestContext) -> bool {
-        self.daemon
-            .ledgers
-            .with(context.request, context.call, |ledger| ledger.take_extra())
-            .unwrap_or(false)
+    /// Takes an extra attempt from the allowance of the request and the budget of the service. The
+    /// budget is asked only when the allowance has a rest.
+    fn take_extra(&self, call: &OutgoingCall) -> bool {
+        let RequestContext {
+            request, call: id, ..
+        } = call.context;
+        let (daemon, ledgers) = (&self.daemon, &self.daemon.ledgers);
+        let has_rest = ledgers.with(request, id, |ledger| ledger.rest() > 0);
+        has_rest == Some(true)
+            && daemon
+                .retry_budgets
+                .take_extra(&call.service, daemon.clock.now())
+            && ledgers.with(request, id, |ledger| ledger.take_extra()) == Some(true)
     }
 
     async fn send_attempt(
--- a/src/filter/outgoing_call.rs
+++ b/src/filter/outgoing_call.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::{once::ticket_id::TicketId, request_context::RequestContext},
+    decision::{
+        once::ticket_id::TicketId, profile::service_profile::RetryLimits,
+        request_context::RequestContext,
+    },
     filter::{
         recorded_run::{self, CollectedBody},
         refusal::RefusalError,
@@ -18,6 +21,8 @@
     pub service: SmolStr,
     /// Context of the call that the backend server works on.
     pub context: RequestContext,
+    /// Bounds on extra attempts to the service.
+    pub retry: RetryLimits,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
     /// Whether the backend server marks the call as a repetition.
--- a/src/shell/connection_pool.rs
+++ b/src/shell/connection_pool.rs
@@ -13,8 +13,9 @@
 /// Longest time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time that a connection stays idle.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time that a connection stays idle. It is shorter than the default refusal time of a
+/// drain, so that no idle connection is used when a daemon closes.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Most idle connections for each address.
 const MAX_IDLE: usize = 64;
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -6,6 +6,7 @@
         call_ledgers::CallLedgers,
         gate_controller::GateController,
         profile_controller::{self, ApplyError, ProfileController},
+        retry_budgets::RetryBudgets,
         run_records::RunRecords,
         upstream_controller::UpstreamController,
     },
@@ -63,6 +64,8 @@
     pub upstreams: UpstreamController,
     /// HTTP client.
     pub client: HttpClient,
+    /// Retry budgets of the called services.
+    pub retry_budgets: RetryBudgets,
     /// Issuer of tickets.
     pub tickets: Mutex<TicketIssuer>,
     /// Runs of requests with a ticket.
@@ -113,6 +116,7 @@
             profiles: ProfileController::default(),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
+            retry_budgets: RetryBudgets::new(&settings.calls),
             tickets: Mutex::new(ticket_filter::new_issuer(
                 settings.data_centre.clone(),
                 settings.instance.clone(),
--- a/tests/peer_outcomes.rs
+++ b/tests/peer_outcomes.rs
@@ -172,10 +172,20 @@
     let headers = [("skylark-request", ended.as_str()), ("skylark-retry", "1")];
     let seen = call_documents(&daemon, "/plain", &headers).await;
     assert_eq!(seen.summary(), "503 not-run allowance-spent");
+    // The budget of the service admits an extra attempt only after a first one.
     let seen = call_documents(&daemon, "/plain", &headers[1..]).await;
-    assert_eq!(seen.summary(), "200 ran done");
+    assert_eq!(seen.summary(), "503 not-run allowance-spent");
+    for mark in [&[][..], &headers[1..]] {
+        let seen = call_documents(&daemon, "/plain", mark).await;
+        assert_eq!(seen.summary(), "200 ran done");
+    }
     // Of the allowance of 3 the mark costs 1, and the attempt takes half of the rest.
-    assert_eq!(peer.requests()[0].header("skylark-allowance"), Some("1"));
+    let slices = peer.requests();
+    let slices: Vec<_> = slices
+        .iter()
+        .map(|request| request.header("skylark-allowance"))
+        .collect();
+    assert_eq!(slices, [Some("2"), Some("1")]);
 }
 
 /// Guards against a response to another attempt that reaches the caller.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -21,6 +21,7 @@
 default_class = "booking"
 classes = { booking = 0 }
 upstream = { progress_time_ms = 200 }
+retry = { budget_percent = 100 }
 refusals = [{ status = 503, header = "x-refused", value = "busy" }]
 
 [[routes]]
