Merge tickets, outcomes and retries over the whole chain

The slot of an attempt (UpstreamSlot) replaces AttemptGuard, which did the same; its test in tests/routing.rs goes with it, since dropped_attempt_gives_its_slot_back makes the same check on the slot. Tests wait for /ready and for the version in /profiles instead of counting reads of the platform, whose number is no longer fixed.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,6 +1,5 @@
 //! Controllers of the state that requests share.
 
-pub mod attempt_guard;
 pub mod call_ledgers;
 pub mod gate_controller;
 pub mod gossip_controller;
@@ -8,4 +7,6 @@
 pub mod membership_controller;
 pub mod platform_reader;
 pub mod profile_controller;
+pub mod retry_budgets;
+pub mod run_records;
 pub mod upstream_controller;
--- a/src/controller/profile_controller.rs
+++ b/src/controller/profile_controller.rs
@@ -52,9 +52,15 @@
         self.state.lock().services.get(service).cloned()
     }
 
-    /// Returns the state of the catalogue for operators.
+    /// Returns the state of the catalogue for operators. A key counts as in force once its value is
+    /// followed, which is later than its arrival in the catalogue.
     pub fn report(&self) -> CatalogueReport {
-        self.node.lock().report(self.clock.now())
+        let mut report = self.node.lock().report(self.clock.now());
+        let state = self.state.lock();
+        for key in &mut report.keys {
+            key.version = state.versions.get(&key.key).copied();
+        }
+        report
     }
 
     /// Puts a value in force and calls `follow` with it unless a higher version already is.
--- a/src/controller/upstream_controller.rs
+++ b/src/controller/upstream_controller.rs
@@ -115,6 +115,19 @@
         Some((key, info))
     }
 
+    /// Chooses the upstream with a given name.
+    pub fn choose_named(
+        &self,
+        service: &str,
+        data_centre: &str,
+        instance: &str,
+    ) -> Option<(UpstreamKey, InstanceInfo)> {
+        let mut set = self.sets.get(service)?.lock();
+        let key = set.choose_named(data_centre, instance)?;
+        let info = set.info(key)?.clone();
+        Some((key, info))
+    }
+
     /// Records the end of an attempt.
     pub fn finish(
         &self,
@@ -129,6 +142,13 @@
         }
     }
 
+    /// Returns the attempts in flight at all upstreams of a service.
+    pub fn total_in_flight(&self, service: &str) -> u32 {
+        self.sets
+            .get(service)
+            .map_or(0, |set| set.lock().total_in_flight())
+    }
+
     /// Marks an upstream as leaving.
     pub fn mark_leaving(&self, service: &str, key: UpstreamKey) {
         if let Some(set) = self.sets.get(service) {
--- a/src/decision/routing/upstream_set.rs
+++ b/src/decision/routing/upstream_set.rs
@@ -130,6 +130,16 @@
         Some(key)
     }
 
+    /// Chooses the upstream with a given name, also when it is leaving, and counts the attempt as in
+    /// flight.
+    pub fn choose_named(&mut self, data_centre: &str, instance: &str) -> Option<UpstreamKey> {
+        let (key, state) = self.upstreams.iter_mut().find(|(_, state)| {
+            state.info.data_centre == data_centre && state.info.instance == instance
+        })?;
+        state.in_flight += 1;
+        Some(key)
+    }
+
     /// Records the end of an attempt; `latency` is the time to the head of the response.
     pub fn finish(
         &mut self,
@@ -176,6 +186,11 @@
         self.upstreams.get(key).map_or(0, |state| state.in_flight)
     }
 
+    /// Returns the attempts in flight at all upstreams.
+    pub fn total_in_flight(&self) -> u32 {
+        self.upstreams.values().map(|state| state.in_flight).sum()
+    }
+
     /// Returns whether the set has no members.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
--- a/src/filter/inbound_chain.rs
+++ b/src/filter/inbound_chain.rs
@@ -5,12 +5,14 @@
     filter::{
         accept_filter::AcceptFilter,
         admission_filter::AdmissionFilter,
+        attempt_filter::AttemptFilter,
         backend_handler::BackendHandler,
         classify_filter::ClassifyFilter,
         identify_filter::{IdentifyFilter, RequestOrigin},
         ledger_filter::LedgerFilter,
         lifecycle_filter::LifecycleFilter,
         metrics_filter::MetricsFilter,
+        ticket_filter::TicketFilter,
     },
     shell::daemon::DaemonState,
 };
@@ -51,9 +53,15 @@
                 daemon: Arc::clone(daemon),
                 origin,
             })
+            .add(AttemptFilter {
+                daemon: Arc::clone(daemon),
+            })
             .add(ClassifyFilter {
                 daemon: Arc::clone(daemon),
             })
+            .add(TicketFilter {
+                daemon: Arc::clone(daemon),
+            })
             .add(AcceptFilter {
                 daemon: Arc::clone(daemon),
             })
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -1,6 +1,7 @@
 //! Sockets, settings, logs, metrics, traces and signals.
 
 pub mod admin_server;
+pub mod connection_pool;
 pub mod control;
 pub mod control_client;
 pub mod control_driver;
@@ -19,7 +20,9 @@
 pub mod metrics_requests;
 mod peer_probe;
 pub mod platform_client;
+pub mod pooled_body;
 pub mod profiles_report;
+pub mod progress_stream;
 pub mod span_encoding;
 mod span_exporter;
 pub mod span_recorder;
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -6,7 +6,8 @@
         call_ledgers::CallLedgers, gate_controller::GateController,
         gossip_controller::GossipController, lifecycle_controller::LifecycleController,
         membership_controller::MembershipController, platform_reader::PlatformReader,
-        profile_controller::ProfileController, upstream_controller::UpstreamController,
+        profile_controller::ProfileController, retry_budgets::RetryBudgets,
+        run_records::RunRecords, upstream_controller::UpstreamController,
     },
     decision::{
         catalogue::{
@@ -20,12 +21,18 @@
             member_phase::MemberPhase,
             member_record::{MemberRecord, PeerObservation},
         },
+        once::ticket_issuer::TicketIssuer,
         profile::service_profile::AdmissionLimits,
+        request_context::AttemptId,
         routing::upstream_set::InstanceInfo,
     },
     filter::{
-        identify_filter::RequestOrigin, inbound_chain::inbound_chain,
-        outbound_handler::OutboundHandler, request_headers,
+        attempt_filter::ATTEMPT_LIMITS,
+        identify_filter::RequestOrigin,
+        inbound_chain::inbound_chain,
+        outbound_handler::OutboundHandler,
+        request_headers,
+        ticket_filter::{self, TICKET_LIMITS},
     },
     settings::DaemonSettings,
     shell::{
@@ -49,6 +56,9 @@
 /// Interval of decisions that depend on the time alone.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Progress time of connections to a service without a profile.
+const DEFAULT_PROGRESS_TIME: Duration = Duration::from_secs(1);
+
 /// State that all requests of a daemon share.
 pub struct DaemonState {
     /// Settings read at start.
@@ -71,6 +81,14 @@
     pub lifecycle: LifecycleController,
     /// HTTP client.
     pub client: HttpClient,
+    /// Retry budgets of the called services.
+    pub retry_budgets: RetryBudgets,
+    /// Issuer of tickets.
+    pub tickets: Mutex<TicketIssuer>,
+    /// Runs of requests with a ticket.
+    pub ticket_runs: Arc<RunRecords<u64>>,
+    /// Runs of the attempts of other daemons.
+    pub attempts: Arc<RunRecords<AttemptId>>,
     /// Metrics.
     pub metrics: DaemonMetrics,
     /// Trace spans.
@@ -104,7 +122,7 @@
         let spans = span_recorder(&settings).map_err(DaemonError::TraceExport)?;
         let upstreams = Arc::new(UpstreamController::new(
             &settings.data_centre,
-            &settings.calls,
+            &known_services(&settings),
             rand::random(),
         ));
         let incarnation = Incarnation(rand::random());
@@ -122,6 +140,14 @@
             gossip: Arc::new(gossip),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
+            retry_budgets: RetryBudgets::new(&settings.calls),
+            tickets: Mutex::new(ticket_filter::new_issuer(
+                settings.data_centre.clone(),
+                settings.instance.clone(),
+                clock.now(),
+            )),
+            ticket_runs: Arc::new(RunRecords::new(TICKET_LIMITS, Arc::clone(&clock), false)),
+            attempts: Arc::new(RunRecords::new(ATTEMPT_LIMITS, Arc::clone(&clock), true)),
             metrics: DaemonMetrics::new(&settings.calls, spans.dropped_counter()),
             spans,
             clock,
@@ -129,6 +155,14 @@
         })
     }
 
+    /// Returns the time without a received byte after which a connection to a service is silent.
+    pub fn progress_time(&self, service: &str) -> Duration {
+        let in_force = self.profiles.get(service);
+        in_force.map_or(DEFAULT_PROGRESS_TIME, |entry| {
+            Duration::from_millis(entry.profile.upstream.progress_time_ms.into())
+        })
+    }
+
     /// Writes all metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
         let services = std::iter::once(&self.settings.service).chain(&self.settings.calls);
@@ -307,6 +341,15 @@
     Ok(())
 }
 
+/// Returns the own service and the called services.
+fn known_services(settings: &DaemonSettings) -> Vec<SmolStr> {
+    let mut services = settings.calls.clone();
+    if !services.contains(&settings.service) {
+        services.push(settings.service.clone());
+    }
+    services
+}
+
 fn span_recorder(settings: &DaemonSettings) -> io::Result<SpanRecorder> {
     let (service, instance) = (settings.service.clone(), settings.instance.clone());
     match (settings.trace_endpoint, &settings.trace_file) {
--- a/src/standin/platform_service.rs
+++ b/src/standin/platform_service.rs
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Publishes a value under the next version of its key.
-    pub fn publish(&self, key: &str, text: impl Into<String>) {
+    /// Publishes a value under the next version of its key and returns the version.
+    pub fn publish(&self, key: &str, text: impl Into<String>) -> u64 {
         let text = text.into();
         let mut state = self.state.lock();
         state.revision += 1;
@@ -72,6 +72,7 @@
         };
         state.values.insert(key.into(), value);
         self.revision.send_replace(changed);
+        version
     }
 
     /// Makes the service refuse all calls, or answer them again.
--- a/src/standin/service_chain.rs
+++ b/src/standin/service_chain.rs
@@ -240,7 +240,7 @@
     pub fn process(&mut self) -> Option<&mut DaemonProcess> {
         match &mut self.daemon {
             ChainDaemon::Process(process) => Some(process),
-            ChainDaemon::Task { .. } => None,
+            ChainDaemon::Task { .. } | ChainDaemon::Absent => None,
         }
     }
 
--- a/tests/catalogue/spread.rs
+++ b/tests/catalogue/spread.rs
@@ -176,9 +176,10 @@
         match u.int_in_range(0..=8)? {
             0 => fleet.publish_profile("s-0", u.int_in_range(0..=9)?),
             1 => fleet.publish_profile("s-1", u.int_in_range(0..=9)?),
-            2 => fleet
-                .platform
-                .publish("profiles/s-0", format!("bad = {}", u.arbitrary::<u8>()?)),
+            2 => {
+                let text = format!("bad = {}", u.arbitrary::<u8>()?);
+                fleet.platform.publish("profiles/s-0", text);
+            }
             3 => fleet.faults.platform_down = u.arbitrary()?,
             4 => {
                 fleet
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -1,17 +1,14 @@
 //! Choice of upstreams under a manual clock.
 
-use skylarkstream::{
-    controller::{attempt_guard::AttemptGuard, upstream_controller::UpstreamController},
-    decision::{
-        clock::{Clock, ManualClock},
-        routing::{
-            load_hint::LoadHint,
-            routing_config::RoutingConfig,
-            upstream_set::{AttemptResult, InstanceInfo, UpstreamKey, UpstreamSet},
-        },
+use skylarkstream::decision::{
+    clock::{Clock, ManualClock},
+    routing::{
+        load_hint::LoadHint,
+        routing_config::RoutingConfig,
+        upstream_set::{AttemptResult, InstanceInfo, UpstreamKey, UpstreamSet},
     },
 };
-use std::{cell::Cell, collections::BTreeMap, sync::Arc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, time::Duration};
 
 const LATENCY: Duration = Duration::from_millis(5);
 
@@ -261,22 +258,3 @@
     scenario.fail(3);
     assert_eq!(scenario.ejected(), 1);
 }
-
-/// Guards against an in-flight count that grows with each cancelled call.
-#[test]
-fn cancelled_attempt_is_not_in_flight() {
-    let clock: Arc<dyn Clock> = Arc::new(ManualClock::new());
-    let services = ["stand-status".into()];
-    let upstreams = Arc::new(UpstreamController::new(&"a".into(), &services, 1));
-    upstreams.update(&services[0], &[member(('a', 1))], clock.now());
-    let chosen = upstreams.choose(&services[0], &[], clock.now());
-    let (key, _) = chosen.unwrap();
-    assert_eq!(upstreams.in_flight(&services[0], key), 1);
-    drop(AttemptGuard {
-        upstreams: Arc::clone(&upstreams),
-        clock,
-        service: services[0].clone(),
-        key: Some(key),
-    });
-    assert_eq!(upstreams.in_flight(&services[0], key), 0);
-}
--- a/tests/scenarios/chain.rs
+++ b/tests/scenarios/chain.rs
@@ -11,12 +11,17 @@
     admission::admission_gate::{GateDecision, GateKey, GateRequest, ShedReason, WorkResult},
     clock::{Clock, ManualClock},
     request_priority::RequestPriority,
-    retry::{attempt_ledger::AttemptLedger, retry_after::RetryAfter},
+    retry::{
+        attempt_ledger::{AllowanceSlice, AttemptLedger},
+        retry_after::RetryAfter,
+    },
     routing::upstream_set::{AttemptResult, UpstreamKey},
 };
 use slotmap::SlotMap;
 use std::{
+    cell::RefCell,
     collections::BTreeMap,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -69,7 +74,7 @@
     entered: Instant,
     sent: Instant,
     ledger: AttemptLedger,
-    slice: u16,
+    slice: Rc<RefCell<Option<AllowanceSlice>>>,
     gate: Option<GateKey>,
     work_start: Option<Instant>,
     has_slot: bool,
@@ -244,7 +249,7 @@
             entered: now,
             sent: now,
             ledger: AttemptLedger::new(allowance),
-            slice: 0,
+            slice: Rc::default(),
             gate: None,
             work_start: None,
             has_slot: false,
@@ -376,8 +381,8 @@
             upstream: Some(upstream),
             tried: Vec::new(),
             sent: now,
-            ledger: AttemptLedger::new(slice),
-            slice,
+            ledger: AttemptLedger::new(slice.size()),
+            slice: Rc::new(RefCell::new(Some(slice))),
             gate: None,
             has_slot: false,
             ..call.clone()
@@ -458,7 +463,9 @@
         parent.child = None;
         let from = parent.instance;
         if verdict != Verdict::Failed {
-            parent.ledger.return_unused(call.slice, call.ledger.rest());
+            if let Some(slice) = call.slice.take() {
+                parent.ledger.return_unused(slice, call.ledger.rest());
+            }
             self.learn_thresholds(from, call.instance);
         }
         self.finish_attempt(from, call, verdict);
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,291 @@
+//! Fakes on loopback and daemons around them.
+#![allow(dead_code, clippy::unwrap_used)]
+
+pub mod raw_server;
+pub mod silent_proxy;
+
+use gotham::helpers::http::Body;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use skylarkstream::{
+    settings::{DaemonSettings, LogSettings},
+    shell::{
+        daemon, header_names, http_client::HttpClient, http_server, profiles_report::ProfilesReport,
+    },
+    standin::{loopback_address, platform_service::PlatformService},
+};
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
+use tokio::{net::TcpListener, sync::watch};
+
+/// Profile with a plain route, an idempotent route and a route that requires a ticket.
+pub const PROFILE: &str = r#"
+name = "bookings"
+default_class = "booking"
+classes = { booking = 0 }
+upstream = { progress_time_ms = 200 }
+retry = { budget_percent = 100 }
+refusals = [{ status = 503, header = "x-refused", value = "busy" }]
+
+[[routes]]
+path = "/read"
+class = "booking"
+idempotent = true
+deadline_ms = 1500
+
+[[routes]]
+path = "/short"
+class = "booking"
+deadline_ms = 250
+
+[[routes]]
+path = "/long"
+class = "booking"
+deadline_ms = 60000
+
+[[routes]]
+path = "/book"
+class = "booking"
+ticket = "required"
+deadline_ms = 3000
+"#;
+
+/// Platform with the profile for the services `bookings` and `documents`.
+pub struct TestPlatform {
+    pub service: PlatformService,
+    pub address: SocketAddr,
+    admins: Mutex<Vec<SocketAddr>>,
+    _stop: watch::Sender<bool>,
+}
+
+impl TestPlatform {
+    pub async fn start(profile: &str) -> Self {
+        let service = PlatformService::new();
+        let listener = listener().await;
+        let address = listener.local_addr().unwrap();
+        let stop = watch::Sender::new(false);
+        tokio::spawn(http_server::serve(
+            listener,
+            service.clone(),
+            stop.subscribe(),
+        ));
+        service.publish("profiles/bookings", profile);
+        for name in ["bookings", "documents"] {
+            service.publish(&format!("services/{name}"), "profile = \"bookings\"");
+            service.publish(&format!("instances/{name}"), "");
+        }
+        Self {
+            service,
+            address,
+            admins: Mutex::default(),
+            _stop: stop,
+        }
+    }
+
+    /// Publishes the instances of a service, each as name and peer address, and returns the version.
+    pub fn instances(&self, service: &str, members: &[(&str, SocketAddr)]) -> u64 {
+        let list: String = members
+            .iter()
+            .map(|(name, peer)| {
+                format!(
+                    "[[instances]]\ninstance = \"{name}\"\ndata_centre = \"dc-1\"\n\
+                     peer = \"{peer}\"\ncontrol = \"{peer}\"\n"
+                )
+            })
+            .collect();
+        self.service.publish(&format!("instances/{service}"), list)
+    }
+}
+
+impl TestPlatform {
+    /// Publishes instances and waits until each daemon of the platform follows them.
+    pub async fn change_instances(&self, service: &str, members: &[(&str, SocketAddr)]) {
+        let version = self.instances(service, members);
+        let key = format!("instances/{service}");
+        let admins = self.admins.lock().unwrap().clone();
+        for admin in admins {
+            wait_until("the change", async || {
+                let report = get(admin, "/profiles").await;
+                let report: Option<ProfilesReport> =
+                    report.and_then(|text| serde_json::from_str(&text).ok());
+                let keys = report.map_or_else(Vec::new, |report| report.catalogue.keys);
+                keys.iter()
+                    .any(|entry| entry.key == key && entry.version >= Some(version))
+            })
+            .await;
+        }
+    }
+}
+
+/// Daemon of the service `bookings`, which calls `documents`.
+pub struct TestDaemon {
+    pub settings: DaemonSettings,
+    task: tokio::task::JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+impl TestDaemon {
+    /// Settings with free ports.
+    pub async fn settings(
+        instance: &str,
+        platform: SocketAddr,
+        backend: SocketAddr,
+    ) -> DaemonSettings {
+        DaemonSettings {
+            cluster: "test".into(),
+            data_centre: "dc-1".into(),
+            instance: instance.into(),
+            service: "bookings".into(),
+            backend,
+            edge: free_address().await,
+            peer: free_address().await,
+            outbound: free_address().await,
+            control: free_address().await,
+            admin: free_address().await,
+            platform,
+            seed_peers: Vec::new(),
+            calls: vec!["documents".into()],
+            trace_file: None,
+            trace_endpoint: None,
+            log: LogSettings::default(),
+            refusal_ms: 0,
+        }
+    }
+
+    /// Runs a daemon until it serves.
+    pub async fn start(platform: &TestPlatform, settings: DaemonSettings) -> Self {
+        let stop = watch::Sender::new(false);
+        let run = daemon::run(settings.clone(), stop.subscribe());
+        let task = tokio::spawn(async move { run.await.expect("a running daemon") });
+        let daemon = Self {
+            settings,
+            task,
+            _stop: stop,
+        };
+        let admin = daemon.settings.admin;
+        wait_until("the start of the daemon", async || {
+            assert!(!daemon.task.is_finished(), "The daemon ended.");
+            get(admin, "/ready").await.is_some()
+        })
+        .await;
+        platform.admins.lock().unwrap().push(admin);
+        daemon
+    }
+
+    /// Ends the daemon abruptly. Its open connections stay served until their requests end.
+    pub async fn kill(self) -> DaemonSettings {
+        self.task.abort();
+        let _ = self.task.await;
+        self.settings
+    }
+}
+
+/// Response as its caller sees it.
+#[derive(Debug)]
+pub struct Seen {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// Body, or `None` for an aborted transfer.
+    pub body: Option<String>,
+}
+
+impl Seen {
+    pub fn outcome(&self) -> &str {
+        self.header("skylark-outcome")
+    }
+
+    pub fn reason(&self) -> &str {
+        self.header("skylark-reason")
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("-", |value| value.to_str().unwrap())
+    }
+
+    /// Status, outcome and reason, or the body where there is no reason.
+    pub fn summary(&self) -> String {
+        let rest = match (self.reason(), &self.body) {
+            ("-", Some(body)) => body,
+            ("-", None) => "aborted",
+            (reason, _) => reason,
+        };
+        format!("{} {} {rest}", self.status.as_u16(), self.outcome())
+    }
+}
+
+/// Sends a request over a new connection; panics when no response head arrives.
+pub async fn call(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Seen {
+    let mut request = Request::new(Body::new(
+        Full::from(body.to_owned()).map_err(|never| match never {}),
+    ));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = format!("http://{address}{path}").parse().unwrap();
+    for (name, value) in headers {
+        let name: http::HeaderName = name.parse().unwrap();
+        request.headers_mut().insert(name, value.parse().unwrap());
+    }
+    let response = HttpClient::new().send(address, request).await.unwrap();
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok();
+    Seen {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.map(|body| String::from_utf8(body.to_bytes().to_vec()).unwrap()),
+    }
+}
+
+/// Calls the service `documents` through the outbound listener.
+pub async fn call_documents(daemon: &TestDaemon, path: &str, headers: &[(&str, &str)]) -> Seen {
+    let headers = [headers, &[("host", "documents")]].concat();
+    call(daemon.settings.outbound, path, &headers, "").await
+}
+
+/// Asks for a ticket of the executor behind `address`.
+pub async fn ticket(address: SocketAddr) -> String {
+    let seen = call(address, "/book", &[], "").await;
+    assert_eq!(seen.summary(), "428 not-run ticket-required");
+    seen.header(header_names::TICKET.as_str()).to_owned()
+}
+
+pub async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+pub async fn free_address() -> SocketAddr {
+    loopback_address::reserve().unwrap()
+}
+
+/// Reads a page of the admin listener; `None` for any status but 200.
+async fn get(admin: SocketAddr, path: &str) -> Option<String> {
+    let request = Request::get(format!("http://{admin}{path}")).body(Body::default());
+    let response = HttpClient::new().send(admin, request.ok()?).await.ok()?;
+    let status = response.status();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    (status == StatusCode::OK).then(|| String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Waits until a condition holds; ends the test after ten seconds.
+pub async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    for _ in 0..1_000 {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not happen");
+}
+
+/// Runs a property on the same inputs each time.
+pub fn check(
+    size: u32,
+    mut property: impl FnMut(&mut arbtest::arbitrary::Unstructured) -> arbtest::arbitrary::Result<()>,
+) {
+    const RUNS: u64 = 500;
+    for run in 0..RUNS {
+        // The low half of a seed is the size of the input.
+        arbtest::arbtest(&mut property)
+            .seed(run << 32 | u64::from(size))
+            .run();
+    }
+}
