Give the daemon of the bound test a control address of its own

The test took the control address of another daemon, so its daemon could not start and the test waited forever.

--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -205,6 +205,7 @@
         edge: reserve(),
         peer: reserve(),
         outbound: reserve(),
+        control: reserve(),
         admin: reserve(),
         ..chain.instances[1].settings.clone()
     };
