Read the own keys first from the platform

With 1,000 further instances in the lists, a run of 30 real daemons did not get its own profile within 180 s, since a daemon that is not a reader drew its few platform calls among all missing lists. The keys of the own and the called services now come first.

--- a/src/decision/catalogue/catalogue_node.rs
+++ b/src/decision/catalogue/catalogue_node.rs
@@ -422,18 +422,24 @@
         let is_reader = self.roles.is_reader || (!has_seeds && !is_complete);
         let open = |key: &&SmolStr| is_reader && !self.index.is_settled(key);
         let without_peer = self.fetches.without_peer();
+        let mut missing: Vec<SmolStr> = self
+            .fetches
+            .keys()
+            .filter(open)
+            .chain(without_peer)
+            .cloned()
+            .collect();
+        // A daemon cannot serve without its own keys; among many missing lists, one of few draws
+        // would seldom hit them.
+        if missing.iter().any(|key| self.roles.is_own(key)) {
+            missing.retain(|key| self.roles.is_own(key));
+        }
         let needs = ReaderNeeds {
             is_reader,
             is_empty: self.index.is_empty(),
             is_silent: self.peers.is_silent(now),
             fleet: self.largest_fleet,
-            missing: self
-                .fetches
-                .keys()
-                .filter(open)
-                .chain(without_peer)
-                .cloned()
-                .collect(),
+            missing,
         };
         let calls = self.platform.next_calls(&needs, now, &mut self.rng);
         calls.into_iter().map(CatalogueAction::Platform).collect()
--- a/src/decision/catalogue/catalogue_roles.rs
+++ b/src/decision/catalogue/catalogue_roles.rs
@@ -80,6 +80,11 @@
         self.needed.contains(key) || key.starts_with("instances/")
     }
 
+    /// Returns whether a key is of the own or a called service, lists not counted.
+    pub fn is_own(&self, key: &str) -> bool {
+        self.needed.contains(key)
+    }
+
     /// Returns the keys that the daemon needs for itself, without the lists.
     pub fn needed(&self) -> impl Iterator<Item = &SmolStr> {
         self.needed.iter()
