--- a/src/decision/catalogue/catalogue_node.rs
+++ b/src/decision/catalogue/catalogue_node.rs
@@ -418,7 +418,8 @@
 
     fn platform_calls(&mut self, now: Instant) -> Vec<CatalogueAction> {
         let has_seeds = self.gossip.has_seeds();
-        let is_complete = self.roles.needed().all(|key| self.in_force(key).is_some());
+        let has_own = self.roles.needed().all(|key| self.in_force(key).is_some());
+        let is_complete = has_own && self.book.has_all_lists(&self.index);
         let is_reader = self.roles.is_reader || (!has_seeds && !is_complete);
         let open = |key: &&SmolStr| is_reader && !self.index.is_settled(key);
         let without_peer = self.fetches.without_peer();
