--- a/src/decision/catalogue/catalogue_node.rs
+++ b/src/decision/catalogue/catalogue_node.rs
@@ -418,22 +418,29 @@
 
     fn platform_calls(&mut self, now: Instant) -> Vec<CatalogueAction> {
         let has_seeds = self.gossip.has_seeds();
-        let is_complete = self.roles.needed().all(|key| self.in_force(key).is_some());
+        let has_own = self.roles.needed().all(|key| self.in_force(key).is_some());
+        let is_complete = has_own && self.book.has_all_lists(&self.index);
         let is_reader = self.roles.is_reader || (!has_seeds && !is_complete);
         let open = |key: &&SmolStr| is_reader && !self.index.is_settled(key);
         let without_peer = self.fetches.without_peer();
+        let mut missing: Vec<SmolStr> = self
+            .fetches
+            .keys()
+            .filter(open)
+            .chain(without_peer)
+            .cloned()
+            .collect();
+        // A daemon cannot serve without its own keys; among many missing lists, one of few draws
+        // would seldom hit them.
+        if missing.iter().any(|key| self.roles.is_own(key)) {
+            missing.retain(|key| self.roles.is_own(key));
+        }
         let needs = ReaderNeeds {
             is_reader,
             is_empty: self.index.is_empty(),
             is_silent: self.peers.is_silent(now),
             fleet: self.largest_fleet,
-            missing: self
-                .fetches
-                .keys()
-                .filter(open)
-                .chain(without_peer)
-                .cloned()
-                .collect(),
+            missing,
         };
         let calls = self.platform.next_calls(&needs, now, &mut self.rng);
         calls.into_iter().map(CatalogueAction::Platform).collect()
