Exempt callers below their share from shedding by rank

Cause: the threshold that one flooding caller brings down refused another caller of the same class; 31 of its 200 requests were started. Change: threshold_for gives a caller that uses less than three quarters of an equal share the whole class of the threshold.

--- a/src/decision/admission/admission_gate.rs
+++ b/src/decision/admission/admission_gate.rs
@@ -133,7 +133,8 @@
     /// Offers a request; its decision comes out of a later [`AdmissionGate::poll`].
     pub fn offer(&mut self, request: GateRequest, now: Instant) -> GateKey {
         let key = self.entries.insert(GateEntry::default());
-        if self.threshold.admits(request.priority) {
+        let threshold = self.threshold_for(&request.caller_service, now);
+        if request.priority <= threshold {
             self.queue.push(key, request, now);
         } else {
             self.shed(key, ShedReason::Threshold);
@@ -179,6 +180,22 @@
         self.threshold.priority()
     }
 
+    /// Returns the lowest priority that is admitted now from one calling service.
+    ///
+    /// A caller that uses much less than its share is not shed by rank within a class, since the
+    /// threshold then stands for the demand of the other callers.
+    pub fn threshold_for(&self, caller: &str, now: Instant) -> RequestPriority {
+        let threshold = self.threshold.priority();
+        if threshold.rank < u16::MAX && self.share.is_below_share(caller, now) {
+            return RequestPriority {
+                retry: true,
+                rank: u16::MAX,
+                ..threshold
+            };
+        }
+        threshold
+    }
+
     /// Returns the requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/src/decision/admission/admission_threshold.rs
+++ b/src/decision/admission/admission_threshold.rs
@@ -35,11 +35,6 @@
 }
 
 impl AdmissionThreshold {
-    /// Returns whether a request of this priority is admitted.
-    pub fn admits(&self, priority: RequestPriority) -> bool {
-        PriorityLevel::from(priority) <= self.level
-    }
-
     /// Returns the lowest priority that is admitted.
     pub fn priority(&self) -> RequestPriority {
         self.level.into()
--- a/src/decision/admission/fair_share.rs
+++ b/src/decision/admission/fair_share.rs
@@ -32,6 +32,16 @@
         })
     }
 
+    /// Returns whether a caller uses less than three quarters of an equal share of all recent use.
+    pub fn is_below_share(&self, caller: &str, now: Instant) -> bool {
+        let others = self.callers.keys().filter(|other| *other != caller);
+        let (count, used) = others.fold((1.0, 0.0), |(count, used), other| {
+            (count + 1.0, used + self.used(other, now))
+        });
+        let own = self.used(caller, now);
+        4.0 * own * count < 3.0 * (used + own)
+    }
+
     fn evict(&mut self, now: Instant) {
         let least = self
             .callers
--- a/tests/scenarios/chain.rs
+++ b/tests/scenarios/chain.rs
@@ -504,7 +504,8 @@
     fn learn_thresholds(&mut self, from: usize, to: usize) {
         let now = self.now();
         let service = self.instances[to].service;
-        let own = self.instances[to].gate.threshold();
+        let caller = self.instances[from].name;
+        let own = self.instances[to].gate.threshold_for(caller, now);
         self.instances[from].thresholds[service].observe(own, now);
         for deeper in service + 1..self.scenario.services.len() {
             let learned = self.instances[to].thresholds[deeper].priority(now);
