Wire thresholds and retry budgets into the daemon

Cause: the daemon neither reported its threshold nor bounded retries by service. Change: responses between daemons carry skylark-threshold; calls below a learned threshold are refused before they are sent, and before they are started where the backend server calls exactly one service. Extra attempts count against the budget of the target service.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -2,5 +2,6 @@
 
 pub mod call_ledgers;
 pub mod gate_controller;
+pub mod overload_controller;
 pub mod profile_controller;
 pub mod upstream_controller;
--- a/src/controller/gate_controller.rs
+++ b/src/controller/gate_controller.rs
@@ -87,6 +87,12 @@
         self.state.lock().gate.threshold()
     }
 
+    /// Returns the lowest priority that is admitted now from one calling service.
+    pub fn threshold_for(&self, caller: &str) -> RequestPriority {
+        let now = self.clock.now();
+        self.state.lock().gate.threshold_for(caller, now)
+    }
+
     /// Returns requests in flight, requests that wait, and the concurrency limit.
     pub fn load(&self) -> GateLoad {
         let state = self.state.lock();
--- a/src/filter/admission_filter.rs
+++ b/src/filter/admission_filter.rs
@@ -3,9 +3,9 @@
 use crate::{
     common::*,
     controller::gate_controller::GatePermit,
-    decision::admission::admission_gate::GateRequest,
-    filter::{identify_filter::CallState, refusal::RefusalError},
-    shell::daemon::DaemonState,
+    decision::admission::admission_gate::{GateRequest, ShedReason},
+    filter::{identify_filter::CallState, refusal::RefusalError, request_headers},
+    shell::{daemon::DaemonState, header_names},
 };
 use futures_util::FutureExt;
 use gotham::{
@@ -40,13 +40,31 @@
                 is_entry: context.is_entry,
                 caller_service: context.caller_service.clone(),
             };
-            match self.daemon.gate.admit(request).await {
+            let caller = request.caller_service.clone();
+            let is_admitted_below = self
+                .daemon
+                .overload
+                .admits(request.priority, self.daemon.clock.now());
+            let admission = if is_admitted_below {
+                self.daemon.gate.admit(request).await
+            } else {
+                Err(ShedReason::Threshold)
+            };
+            let (state, mut response) = match admission {
                 Ok(permit) => {
                     state.put(PermitState(permit));
-                    chain(state).await
+                    chain(state).await?
                 }
-                Err(reason) => Ok((state, RefusalError::Shed(reason).to_response())),
-            }
+                Err(reason) => (state, RefusalError::Shed(reason).to_response()),
+            };
+            let own = self.daemon.gate.threshold_for(&caller);
+            let header = self.daemon.overload.header(
+                &self.daemon.settings.service,
+                own,
+                self.daemon.clock.now(),
+            );
+            request_headers::insert(response.headers_mut(), header_names::THRESHOLD, header);
+            Ok((state, response))
         }
         .boxed()
     }
--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -3,7 +3,8 @@
 use crate::{
     common::*,
     decision::{
-        profile::service_profile::ServiceProfile,
+        admission::admission_gate::ShedReason,
+        profile::service_profile::{RetryLimits, ServiceProfile},
         request_context::{AttemptId, CallId, RequestContext, RequestId},
         request_priority::{LOWEST_CLASS, RequestPriority},
         routing::upstream_set::{AttemptResult, InstanceInfo, UpstreamKey},
@@ -46,6 +47,7 @@
     service: SmolStr,
     context: RequestContext,
     is_idempotent: bool,
+    retry: RetryLimits,
     method: Method,
     path: PathAndQuery,
     headers: HeaderMap,
@@ -107,6 +109,7 @@
         request_headers::strip_hop_by_hop(&mut headers);
         Ok(OutgoingCall {
             is_idempotent: rule.map_or(method.is_safe(), |rule| rule.idempotent),
+            retry: profile.retry.clone(),
             service,
             context,
             method,
@@ -153,6 +156,12 @@
 
     async fn send_call(&self, mut call: OutgoingCall) -> Result<Response<Body>, RefusalError> {
         let mut tried = Vec::new();
+        let overload = &self.daemon.overload;
+        let now = self.daemon.clock.now();
+        if !overload.admits_call(&call.service, call.context.priority, now) {
+            return Err(RefusalError::Shed(ShedReason::Threshold));
+        }
+        overload.on_first(&call.service, &call.retry, now);
         loop {
             let now = self.daemon.clock.now();
             if call.context.deadline <= now {
@@ -170,17 +179,28 @@
                 RunOutcome::NotRun => true,
                 RunOutcome::Unknown => call.is_idempotent,
             };
-            if !may_repeat || !call.body.is_repeatable() || !self.take_extra(&call.context) {
+            if !may_repeat || !call.body.is_repeatable() || !self.take_extra(&call) {
                 return answer;
             }
         }
     }
 
-    fn take_extra(&self, context: &RequestContext) -> bool {
-        self.daemon
-            .ledgers
-            .with(context.request, context.call, |ledger| ledger.take_extra())
-            .unwrap_or(false)
+    fn take_extra(&self, call: &OutgoingCall) -> bool {
+        let now = self.daemon.clock.now();
+        let RequestContext {
+            request, call: id, ..
+        } = call.context;
+        let overload = &self.daemon.overload;
+        overload.admits_call(&call.service, call.context.priority, now)
+            && self
+                .daemon
+                .ledgers
+                .with(request, id, |ledger| {
+                    ledger.rest() > 0
+                        && overload.take_extra(&call.service, &call.retry, now)
+                        && ledger.take_extra()
+                })
+                .unwrap_or(false)
     }
 
     async fn send_attempt(
@@ -239,6 +259,11 @@
             .unwrap_or_default()
             .unwrap_or(0);
         ledgers.with(request, id, |ledger| ledger.return_unused(slice, unused));
+        if let Some(header) = response.headers().get(header_names::THRESHOLD) {
+            let now = self.daemon.clock.now();
+            let overload = &self.daemon.overload;
+            overload.observe(header.to_str().unwrap_or_default(), now);
+        }
         if response.headers().contains_key(header_names::LEAVING) {
             self.daemon.upstreams.mark_leaving(&call.service, key);
         }
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -5,6 +5,7 @@
     controller::{
         call_ledgers::CallLedgers,
         gate_controller::GateController,
+        overload_controller::OverloadController,
         profile_controller::{self, ApplyError, ProfileController},
         upstream_controller::UpstreamController,
     },
@@ -46,6 +47,8 @@
     pub gate: Arc<GateController>,
     /// Ledgers of the calls in flight.
     pub ledgers: CallLedgers,
+    /// Thresholds and retry budgets of the called services.
+    pub overload: OverloadController,
     /// Upstreams of the called services.
     pub upstreams: UpstreamController,
     /// HTTP client.
@@ -95,6 +98,7 @@
                 &settings.calls,
                 rand::random(),
             ),
+            overload: OverloadController::new(&settings.calls),
             profiles: ProfileController::default(),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
--- /dev/null
+++ b/tests/scenarios_wiring.rs
@@ -0,0 +1,59 @@
+//! Thresholds and budgets as the daemon keeps them.
+
+use skylarkstream::{
+    controller::overload_controller::OverloadController,
+    decision::{profile::service_profile::RetryLimits, request_priority::RequestPriority},
+};
+use std::time::Instant;
+
+const REFUSED: RequestPriority = RequestPriority {
+    class: 5,
+    rank: 9,
+    retry: false,
+};
+
+fn learned(calls: &[&str], now: Instant) -> OverloadController {
+    let calls: Vec<_> = calls.iter().map(|name| (*name).into()).collect();
+    let overload = OverloadController::new(&calls);
+    for _ in 0..200 {
+        overload.observe("stand-status=2.7.0,bad,crew-roster=x, gates=7.65535.1", now);
+    }
+    overload
+}
+
+/// Guards against a threshold that is lost between the response of one hop and that of the next,
+/// and against bad entries that hide good ones.
+#[test]
+fn thresholds_travel_on() {
+    let now = Instant::now();
+    let overload = learned(&["stand-status"], now);
+    assert!(!overload.admits(REFUSED, now));
+    assert_eq!(
+        overload.header("tug-dispatch", RequestPriority::LOWEST, now),
+        "tug-dispatch=7.65535.1,stand-status=2.7.0,gates=7.65535.1"
+    );
+}
+
+/// Guards against an overloaded service that sheds requests which never call it.
+#[test]
+fn threshold_of_one_of_two_called_services_sheds_only_its_calls() {
+    let now = Instant::now();
+    let overload = learned(&["stand-status", "documents"], now);
+    assert!(overload.admits(REFUSED, now));
+    assert!(overload.admits_call("documents", REFUSED, now));
+    assert!(!overload.admits_call("stand-status", REFUSED, now));
+}
+
+/// Guards against a budget that the first attempts at another service fill up.
+#[test]
+fn budgets_are_kept_for_each_service() {
+    let now = Instant::now();
+    let overload = learned(&[], now);
+    let limits = RetryLimits::default();
+    for _ in 0..10 {
+        overload.on_first(&"stand-status".into(), &limits, now);
+    }
+    assert!(!overload.take_extra(&"documents".into(), &limits, now));
+    assert!(overload.take_extra(&"stand-status".into(), &limits, now));
+    assert!(!overload.take_extra(&"stand-status".into(), &limits, now));
+}
