Spread Retry-After of shed requests by rank

Cause: all callers refused by the gate were told the same time to come back. Change: refusals of the gate use the spread of 500 ms to 1.5 s by rank. Figures: ranks 9 and 49,152 get 1 s and 2 s in the header, which has full seconds; the body has milliseconds.

--- a/src/filter/admission_filter.rs
+++ b/src/filter/admission_filter.rs
@@ -40,6 +40,7 @@
                 is_entry: context.is_entry,
                 caller_service: context.caller_service.clone(),
             };
+            let priority = request.priority;
             let caller = request.caller_service.clone();
             let is_admitted_below = self
                 .daemon
@@ -55,7 +56,7 @@
                     state.put(PermitState(permit));
                     chain(state).await?
                 }
-                Err(reason) => (state, RefusalError::Shed(reason).to_response()),
+                Err(reason) => (state, RefusalError::Shed(reason).to_response_for(priority)),
             };
             let own = self.daemon.gate.threshold_for(&caller);
             let header = self.daemon.overload.header(
--- a/src/filter/refusal.rs
+++ b/src/filter/refusal.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::{admission::admission_gate::ShedReason, run_outcome::RunOutcome},
+    decision::{
+        admission::admission_gate::ShedReason, request_priority::RequestPriority,
+        retry::retry_after::RetryAfter, run_outcome::RunOutcome,
+    },
     shell::header_names,
 };
 use gotham::helpers::http::Body;
@@ -96,8 +99,18 @@
 
     /// Builds the answer for the caller.
     pub fn to_response(&self) -> Response<Body> {
+        self.build(RETRY_AFTER_MS)
+    }
+
+    /// Builds the answer for the caller, with the time to come back spread by rank.
+    pub fn to_response_for(&self, priority: RequestPriority) -> Response<Body> {
+        let spread = RetryAfter::default().for_request(priority);
+        self.build(spread.as_millis() as u64)
+    }
+
+    fn build(&self, retry_after_ms: u64) -> Response<Body> {
         let retry_after_ms =
-            (self.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER_MS);
+            (self.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(retry_after_ms);
         let body = RefusalBody {
             outcome: self.outcome().as_str(),
             reason: self.reason(),
--- a/tests/scenarios_wiring.rs
+++ b/tests/scenarios_wiring.rs
@@ -2,7 +2,11 @@
 
 use skylarkstream::{
     controller::overload_controller::OverloadController,
-    decision::{profile::service_profile::RetryLimits, request_priority::RequestPriority},
+    decision::{
+        admission::admission_gate::ShedReason, profile::service_profile::RetryLimits,
+        request_priority::RequestPriority,
+    },
+    filter::refusal::RefusalError,
 };
 use std::time::Instant;
 
@@ -57,3 +61,16 @@
     assert!(overload.take_extra(&"stand-status".into(), &limits, now));
     assert!(!overload.take_extra(&"stand-status".into(), &limits, now));
 }
+
+/// Guards against refused callers that are all told the same time to come back.
+#[test]
+fn refusal_carries_the_spread_time() {
+    let refusal = RefusalError::Shed(ShedReason::Threshold);
+    let late = RequestPriority {
+        rank: 49_152,
+        ..REFUSED
+    };
+    let times = [REFUSED, late].map(|priority| refusal.to_response_for(priority));
+    let seconds = times.map(|response| response.headers()["retry-after"].clone());
+    assert_eq!(seconds, ["1", "2"]);
+}
