--- a/src/decision.rs
+++ b/src/decision.rs
@@ -1,7 +1,11 @@
 //! Decisions as plain code: events and the time in, results out, without I/O or threads.
 
 pub mod admission;
+pub mod catalogue;
 pub mod clock;
+pub mod lifecycle;
+pub mod membership;
+pub mod pause_detector;
 pub mod profile;
 pub mod request_context;
 pub mod request_priority;
--- a/src/decision/admission/admission_gate.rs
+++ b/src/decision/admission/admission_gate.rs
@@ -250,6 +250,20 @@
         }
         if let Some(cut) = cut.filter(|_| self.decisions.len() > shed_before) {
             self.threshold.fall_below(cut, now);
+            self.shed_below_threshold(now);
+        }
+    }
+
+    /// Refuses the waiting requests that would no longer be admitted. Left in the queue, they would
+    /// become overdue one by one and pull the threshold further down than the demand needs.
+    fn shed_below_threshold(&mut self, now: Instant) {
+        let mut queue = std::mem::take(&mut self.queue);
+        let refused = queue.take_refused(|request| {
+            request.priority <= self.threshold_for(&request.caller_service, now)
+        });
+        self.queue = queue;
+        for key in refused {
+            self.shed(key, ShedReason::Threshold);
         }
     }
 
--- a/src/decision/admission/admission_queue.rs
+++ b/src/decision/admission/admission_queue.rs
@@ -69,6 +69,11 @@
         self.take(|waiting| waiting.offered + wait < now)
     }
 
+    /// Removes the requests that are not admitted any more.
+    pub fn take_refused(&mut self, is_admitted: impl Fn(&GateRequest) -> bool) -> Vec<GateKey> {
+        self.take(|waiting| !is_admitted(&waiting.request))
+    }
+
     /// Removes the request that starts next.
     pub fn take_next(&mut self, share: &FairShare, now: Instant) -> Option<(GateKey, GateRequest)> {
         let (index, _) = self.waiting.iter().enumerate().min_by(|(_, a), (_, b)| {
--- a/src/filter/backend_handler.rs
+++ b/src/filter/backend_handler.rs
@@ -2,10 +2,13 @@
 
 use crate::{
     common::*,
-    decision::{admission::admission_gate::WorkResult, run_outcome::RunOutcome},
+    decision::{
+        admission::admission_gate::WorkResult, lifecycle::lifecycle_phase::DrainCause,
+        run_outcome::RunOutcome,
+    },
     filter::{
-        admission_filter::PermitState, identify_filter::CallState, refusal::RefusalError,
-        request_headers, response_body::TrackedBody,
+        admission_filter::PermitState, identify_filter::CallState, metrics_filter::BackendTime,
+        refusal::RefusalError, request_headers, response_body::TrackedBody,
     },
     shell::{daemon::DaemonState, header_names, http_client::SendError, span_recorder::HopSpan},
 };
@@ -63,6 +66,7 @@
             Ok(Err(SendError::Broken { .. })) => Err(RefusalError::Broken),
             Ok(Ok(response)) => Ok(response),
         };
+        state.put(BackendTime(self.daemon.clock.now() - start));
         let outcome = result
             .as_ref()
             .map_or_else(RefusalError::outcome, |_| RunOutcome::Ran);
@@ -83,6 +87,15 @@
             }
             Ok(response) => {
                 let (mut parts, body) = response.into_parts();
+                if parts
+                    .headers
+                    .get(header_names::DRAIN)
+                    .is_some_and(|value| value == "1")
+                {
+                    self.daemon
+                        .lifecycle
+                        .request_drain(DrainCause::BackendServer);
+                }
                 request_headers::strip_hop_by_hop(&mut parts.headers);
                 request_headers::strip(&mut parts.headers);
                 request_headers::insert(&mut parts.headers, header_names::OUTCOME, outcome);
--- a/src/filter/outbound_handler.rs
+++ b/src/filter/outbound_handler.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    controller::attempt_guard::AttemptGuard,
     decision::{
         admission::admission_gate::ShedReason,
         profile::service_profile::{RetryLimits, ServiceProfile},
@@ -35,6 +36,8 @@
 /// Largest body that is kept for a further attempt, in bytes.
 const MAX_KEPT_BODY: u64 = 64 * 1024;
 
+type CallAnswer = Result<Response<Body>, RefusalError>;
+
 /// Handler of the outbound listener.
 #[derive(Clone)]
 pub struct OutboundHandler {
@@ -172,6 +175,9 @@
                 .upstreams
                 .choose(&call.service, &tried, now)
                 .ok_or_else(|| RefusalError::NoUpstream(call.service.clone()))?;
+            self.daemon
+                .metrics
+                .count_attempt(&call.service, !tried.is_empty());
             tried.push(key);
             let (outcome, answer) = self.send_attempt(&mut call, key, &info).await;
             let may_repeat = match outcome {
@@ -179,13 +185,18 @@
                 RunOutcome::NotRun => true,
                 RunOutcome::Unknown => call.is_idempotent,
             };
-            if !may_repeat || !call.body.is_repeatable() || !self.take_extra(&call) {
+            if !may_repeat || !call.body.is_repeatable() || !self.take_extra(&call, &answer) {
                 return answer;
             }
         }
     }
 
-    fn take_extra(&self, call: &OutgoingCall) -> bool {
+    fn take_extra(&self, call: &OutgoingCall, answer: &CallAnswer) -> bool {
+        // A drain refuses at most the calls in flight and is no overload; the budget of a service
+        // with few calls would leave none for it.
+        let is_drain = answer
+            .as_ref()
+            .is_ok_and(|response| response.headers().contains_key(header_names::LEAVING));
         let now = self.daemon.clock.now();
         let RequestContext {
             request, call: id, ..
@@ -197,7 +208,7 @@
                 .ledgers
                 .with(request, id, |ledger| {
                     ledger.rest() > 0
-                        && overload.take_extra(&call.service, &call.retry, now)
+                        && (is_drain || overload.take_extra(&call.service, &call.retry, now))
                         && ledger.take_extra()
                 })
                 .unwrap_or(false)
@@ -225,6 +236,12 @@
         let outgoing = self.attempt_request(call, info, attempt, slice, start);
         let sent = self.daemon.client.send(info.peer, outgoing);
         let left = deadline.saturating_duration_since(start);
+        let guard = AttemptGuard {
+            upstreams: Arc::clone(&self.daemon.upstreams),
+            clock: Arc::clone(&self.daemon.clock),
+            service: call.service.clone(),
+            key: Some(key),
+        };
         let result = match tokio::time::timeout(left, sent).await {
             Err(_) => Err(RefusalError::DeadlineAfter),
             Ok(Err(SendError::Connect { .. })) => {
@@ -233,6 +250,7 @@
             Ok(Err(SendError::Broken { .. })) => Err(RefusalError::Broken),
             Ok(Ok(response)) => Ok(response),
         };
+        guard.disarm();
         let latency = self.daemon.clock.now() - start;
         let outcome = match &result {
             Err(error) => error.outcome(),
@@ -267,6 +285,8 @@
         if response.headers().contains_key(header_names::LEAVING) {
             self.daemon.upstreams.mark_leaving(&call.service, key);
         }
+        self.daemon
+            .observe_peer(&call.service, info, response.headers(), start);
         let result = match outcome {
             RunOutcome::NotRun => AttemptResult::Refused,
             _ => AttemptResult::Answered,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod controller;
 pub mod decision;
+pub mod experiment;
 pub mod filter;
 pub mod settings;
 pub mod shell;
 pub mod standin;
 pub mod subcommand;
+pub mod toml_location;
 
 mod common;
 
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -3,38 +3,53 @@
 use crate::{
     common::*,
     controller::{
-        call_ledgers::CallLedgers,
-        gate_controller::GateController,
-        overload_controller::OverloadController,
-        profile_controller::{self, ApplyError, ProfileController},
+        call_ledgers::CallLedgers, gate_controller::GateController,
+        gossip_controller::GossipController, lifecycle_controller::LifecycleController,
+        membership_controller::MembershipController, overload_controller::OverloadController,
+        platform_reader::PlatformReader, profile_controller::ProfileController,
         upstream_controller::UpstreamController,
     },
     decision::{
+        catalogue::{
+            catalogue_message::AppliedValue, catalogue_node::NodeSettings,
+            catalogue_value::CatalogueValue, peer_view::PeerInfo,
+        },
         clock::{Clock, SystemClock},
+        lifecycle::lifecycle_state::Lifecycle,
+        membership::{
+            incarnation::Incarnation,
+            member_phase::MemberPhase,
+            member_record::{MemberRecord, PeerObservation},
+        },
         profile::service_profile::AdmissionLimits,
+        routing::upstream_set::InstanceInfo,
     },
     filter::{
         identify_filter::RequestOrigin, inbound_chain::inbound_chain,
-        outbound_handler::OutboundHandler,
+        outbound_handler::OutboundHandler, request_headers,
     },
     settings::DaemonSettings,
     shell::{
-        admin_server, http_client::HttpClient, http_server, platform_client::PlatformClient,
-        span_recorder::SpanRecorder,
+        admin_server,
+        control::ControlHeader,
+        control_client::ControlClient,
+        control_driver::ControlDriver,
+        control_server, daemon_lifecycle, header_names,
+        http_client::HttpClient,
+        http_server,
+        metrics::DaemonMetrics,
+        peer_probe,
+        platform_client::PlatformClient,
+        span_recorder::{FLUSH_TIMEOUT, SpanRecorder},
     },
 };
+use http::HeaderMap;
 use std::{io, panic::RefUnwindSafe};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 
 /// Interval of decisions that depend on the time alone.
 const TICK: Duration = Duration::from_millis(5);
 
-/// Longest wait for a change on the platform.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-
-/// Pause after a failed call to the platform.
-const PLATFORM_BACKOFF: Duration = Duration::from_millis(500);
-
 /// State that all requests of a daemon share.
 pub struct DaemonState {
     /// Settings read at start.
@@ -43,6 +58,8 @@
     pub clock: Arc<dyn Clock>,
     /// Profiles in force.
     pub profiles: ProfileController,
+    /// Catalogue exchange with other daemons.
+    pub gossip: Arc<GossipController>,
     /// Gate of the own backend server.
     pub gate: Arc<GateController>,
     /// Ledgers of the calls in flight.
@@ -50,9 +67,15 @@
     /// Thresholds and retry budgets of the called services.
     pub overload: OverloadController,
     /// Upstreams of the called services.
-    pub upstreams: UpstreamController,
+    pub upstreams: Arc<UpstreamController>,
+    /// Members of all services.
+    pub members: MembershipController,
+    /// Life cycle of the own daemon.
+    pub lifecycle: LifecycleController,
     /// HTTP client.
     pub client: HttpClient,
+    /// Metrics.
+    pub metrics: DaemonMetrics,
     /// Trace spans.
     pub spans: SpanRecorder,
 }
@@ -72,58 +95,162 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The trace file cannot be opened.
-    #[error("The trace file cannot be opened: {0}")]
-    TraceFile(io::Error),
+    /// The export of spans cannot be started.
+    #[error("The export of spans cannot be started: {0}.")]
+    TraceExport(io::Error),
 }
 
 impl DaemonState {
     /// Creates the state of a daemon.
     pub fn new(settings: DaemonSettings) -> Result<Self, DaemonError> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let spans = match &settings.trace_file {
-            Some(path) => {
-                SpanRecorder::to_file(path, settings.service.clone(), settings.instance.clone())
-                    .map_err(DaemonError::TraceFile)?
-            }
-            None => SpanRecorder::disabled(),
-        };
+        let spans = span_recorder(&settings).map_err(DaemonError::TraceExport)?;
+        let upstreams = Arc::new(UpstreamController::new(
+            &settings.data_centre,
+            &settings.calls,
+            rand::random(),
+        ));
+        let incarnation = Incarnation(rand::random());
+        let own = own_record(&settings, incarnation);
+        let gossip = GossipController::new(node_settings(&settings), Arc::clone(&clock));
         Ok(Self {
+            members: MembershipController::new(own, Arc::clone(&upstreams), clock.now()),
+            lifecycle: LifecycleController::new(incarnation),
             gate: Arc::new(GateController::new(
                 AdmissionLimits::default(),
                 Arc::clone(&clock),
             )),
-            upstreams: UpstreamController::new(
-                &settings.data_centre,
-                &settings.calls,
-                rand::random(),
-            ),
             overload: OverloadController::new(&settings.calls),
-            profiles: ProfileController::default(),
+            upstreams,
+            profiles: ProfileController::new(gossip.node(), Arc::clone(&clock)),
+            gossip: Arc::new(gossip),
             ledgers: CallLedgers::new(),
             client: HttpClient::new(),
+            metrics: DaemonMetrics::new(&settings.calls, spans.dropped_counter()),
             spans,
             clock,
             settings,
         })
     }
 
-    async fn refresh(&self, platform: &PlatformClient) -> Result<(), ApplyError> {
+    /// Writes all metrics in the OpenMetrics text format.
+    pub fn metrics_text(&self) -> String {
+        let services = std::iter::once(&self.settings.service).chain(&self.settings.calls);
+        for service in services {
+            if let Some(in_force) = self.profiles.get(service) {
+                self.metrics.set_profile_version(service, in_force.version);
+            }
+        }
+        self.metrics.text(self.gate.load(), self.gate.threshold())
+    }
+
+    /// Records what the response of a peer says about its incarnation.
+    pub fn observe_peer(
+        &self,
+        service: &SmolStr,
+        info: &InstanceInfo,
+        headers: &HeaderMap,
+        sent: Instant,
+    ) {
+        let leaving = request_headers::parse(headers, &header_names::LEAVING);
+        let leaving: Option<Incarnation> = leaving.unwrap_or_default();
+        let incarnation = request_headers::parse(headers, &header_names::INCARNATION);
+        let Some(incarnation) = leaving.or(incarnation.unwrap_or_default()) else {
+            return;
+        };
+        self.members.observe(&PeerObservation {
+            service: service.clone(),
+            info: info.clone(),
+            incarnation,
+            is_leaving: leaving.is_some(),
+            sent,
+            received: self.clock.now(),
+        });
+    }
+
+    /// Drops the views that a pause of this process has made stale.
+    pub(super) fn drop_stale_views(&self, now: Instant) {
+        self.members.forgive_pause(now);
+        // The gate refuses expired requests before it starts any.
+        self.gate.tick();
+    }
+
+    pub(super) fn is_configured(&self) -> bool {
+        let mut calls = self.settings.calls.iter();
+        calls.all(|call| self.profiles.get(call).is_some() && !self.upstreams.is_empty(call))
+    }
+
+    /// Follows a value that came into force.
+    fn follow(&self, applied: &AppliedValue) {
+        if let CatalogueValue::Instances(instances) = &applied.value
+            && let Some(service) = applied.key.strip_prefix("instances/")
+        {
+            let now = self.clock.now();
+            self.members
+                .apply_list(&service.into(), applied.stamp.version, instances, now);
+        }
+    }
+
+    /// Puts a value in force.
+    fn apply(&self, applied: &AppliedValue) {
         let own = &self.settings.service;
-        self.profiles.refresh(platform, own).await?;
-        if let Some(in_force) = self.profiles.get(own) {
+        let before = self.profiles.get(own);
+        self.profiles.apply(applied, |applied| self.follow(applied));
+        let Some(in_force) = self.profiles.get(own) else {
+            return;
+        };
+        if before.is_none_or(|before| !Arc::ptr_eq(&before.profile, &in_force.profile)) {
             self.gate.set_limits(in_force.profile.admission.clone());
         }
-        for service in &self.settings.calls {
-            self.profiles.refresh(platform, service).await?;
-            let members = profile_controller::read_instances(platform, service).await?;
-            self.upstreams.update(service, &members, self.clock.now());
-        }
-        Ok(())
     }
 }
 
-/// Runs a daemon until `stop` turns true and all requests in flight are answered.
+fn node_settings(settings: &DaemonSettings) -> NodeSettings {
+    let own = std::iter::once(&settings.service);
+    NodeSettings {
+        own: PeerInfo {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            control: settings.control,
+        },
+        services: own.chain(&settings.calls).cloned().collect(),
+        seeds: settings.seed_peers.clone(),
+        seed: rand::random(),
+    }
+}
+
+fn control_driver(daemon: &Arc<DaemonState>) -> ControlDriver {
+    let platform = PlatformClient::new(daemon.settings.platform, daemon.client.clone());
+    let (node, clock) = (daemon.gossip.node(), Arc::clone(&daemon.clock));
+    let applying = Arc::clone(daemon);
+    ControlDriver {
+        gossip: Arc::clone(&daemon.gossip),
+        platform: PlatformReader::new(platform, node, clock),
+        client: ControlClient::new(
+            ControlHeader::new(daemon.settings.cluster.clone()),
+            Arc::clone(&daemon.gossip.traffic),
+        ),
+        apply: Box::new(move |applied| applying.apply(applied)),
+    }
+}
+
+fn own_record(settings: &DaemonSettings, incarnation: Incarnation) -> MemberRecord {
+    MemberRecord {
+        service: settings.service.clone(),
+        info: InstanceInfo {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            peer: settings.peer,
+            control: settings.control,
+            leaving: false,
+        },
+        incarnation,
+        phase: MemberPhase::Live,
+    }
+}
+
+/// Runs a daemon until it is asked to drain, by `stop` or otherwise, and all requests that it
+/// accepted are answered or past their deadline.
 pub async fn run(settings: DaemonSettings, stop: watch::Receiver<bool>) -> Result<(), DaemonError> {
     let daemon = Arc::new(DaemonState::new(settings)?);
     let settings = &daemon.settings;
@@ -131,14 +258,19 @@
     let peer = listen(settings.peer).await?;
     let outbound = listen(settings.outbound).await?;
     let admin = listen(settings.admin).await?;
+    let control = listen(settings.control).await?;
     let mut background = JoinSet::new();
-    background.spawn(follow_platform(Arc::clone(&daemon)));
+    background.spawn(control_server::serve(
+        control,
+        ControlHeader::new(settings.cluster.clone()),
+        Arc::clone(&daemon.gossip),
+    ));
+    background.spawn(Arc::new(control_driver(&daemon)).run());
     background.spawn(tick(Arc::clone(&daemon)));
-    log::info!(
-        "daemon: Serving {} as {}.",
-        settings.service,
-        settings.instance
-    );
+    background.spawn(count_drain(Arc::clone(&daemon), stop.clone()));
+    background.spawn(daemon_lifecycle::detect_pauses(Arc::clone(&daemon)));
+    background.spawn(peer_probe::run(Arc::clone(&daemon)));
+    background.spawn(daemon_lifecycle::drain_on_stop(Arc::clone(&daemon), stop));
     let inner_stop = watch::Sender::new(false);
     let mut inner = JoinSet::new();
     let handler = OutboundHandler {
@@ -154,21 +286,46 @@
         admin_server::router(&daemon),
         inner_stop.subscribe(),
     ));
+    let inbound_stop = watch::Sender::new(false);
+    let mut inbound = JoinSet::new();
+    for (listener, origin) in [(edge, RequestOrigin::Edge), (peer, RequestOrigin::Peer)] {
+        let chain = inbound_chain(&daemon, origin);
+        inbound.spawn(http_server::serve(
+            listener,
+            chain,
+            inbound_stop.subscribe(),
+        ));
+    }
+    let lifecycle = Lifecycle::new(daemon.lifecycle.incarnation());
+    let draining = daemon_lifecycle::serve_until_drain(&daemon, lifecycle).await;
+    let refuses_until = draining.refuses_until(Duration::from_millis(settings.refusal_ms));
+    tokio::time::sleep_until(refuses_until.into()).await;
+    inbound_stop.send_replace(true);
+    daemon_lifecycle::finish_accepted(&daemon, &mut inbound).await;
     // The outbound listener outlives the inbound ones, since requests in flight need it.
-    tokio::join!(
-        http_server::serve(
-            edge,
-            inbound_chain(&daemon, RequestOrigin::Edge),
-            stop.clone()
-        ),
-        http_server::serve(peer, inbound_chain(&daemon, RequestOrigin::Peer), stop),
-    );
     inner_stop.send_replace(true);
-    while inner.join_next().await.is_some() {}
+    daemon_lifecycle::finish_accepted(&daemon, &mut inner).await;
+    daemon.lifecycle.enter(&draining.stop());
+    daemon.spans.flush(FLUSH_TIMEOUT).await;
     log::info!("daemon: Stopped.");
     Ok(())
 }
 
+fn span_recorder(settings: &DaemonSettings) -> io::Result<SpanRecorder> {
+    let (service, instance) = (settings.service.clone(), settings.instance.clone());
+    match (settings.trace_endpoint, &settings.trace_file) {
+        (Some(address), _) => SpanRecorder::to_endpoint(address, service, instance),
+        (None, Some(path)) => SpanRecorder::to_file(path, service, instance),
+        (None, None) => Ok(SpanRecorder::disabled()),
+    }
+}
+
+async fn count_drain(daemon: Arc<DaemonState>, mut stop: watch::Receiver<bool>) {
+    if stop.wait_for(|is_stopping| *is_stopping).await.is_ok() {
+        daemon.metrics.count_drain();
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
@@ -182,24 +339,3 @@
         daemon.gate.tick();
     }
 }
-
-async fn follow_platform(daemon: Arc<DaemonState>) {
-    let platform = PlatformClient::new(daemon.settings.platform, daemon.client.clone());
-    let mut revision = 0;
-    loop {
-        let step = async {
-            let change = platform.watch(revision, WATCH_WAIT).await?;
-            if change.revision > revision {
-                daemon.refresh(&platform).await?;
-            }
-            Ok::<_, ApplyError>(change.revision)
-        };
-        match step.await {
-            Ok(latest) => revision = revision.max(latest),
-            Err(error) => {
-                log::warn!("platform: {error}");
-                tokio::time::sleep(PLATFORM_BACKOFF).await;
-            }
-        }
-    }
-}
--- a/src/standin/backend_server.rs
+++ b/src/standin/backend_server.rs
@@ -2,6 +2,9 @@
 
 use crate::{
     common::*,
+    decision::request_context::RequestId,
+    experiment::work_log::WorkLog,
+    filter::request_headers,
     shell::{header_names, http_client::HttpClient},
 };
 use futures_util::FutureExt;
@@ -10,12 +13,12 @@
     helpers::http::Body,
     state::{FromState, State},
 };
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header::HOST};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header::HOST};
 use http_body_util::{BodyExt, Full};
 use std::{
     panic::RefUnwindSafe,
     pin::Pin,
-    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
 };
 use tokio::sync::Semaphore;
 
@@ -46,7 +49,9 @@
     client: HttpClient,
     slots: Semaphore,
     slowdown: AtomicU32,
+    is_draining: AtomicBool,
     runs: AtomicU64,
+    log: WorkLog,
 }
 
 /// Backend server that works for a fixed time and calls other services; clones share its state.
@@ -60,6 +65,11 @@
 impl BackendServer {
     /// Creates a stand-in that sends its calls to the outbound listener of its daemon.
     pub fn new(behaviour: BackendBehaviour, outbound: SocketAddr) -> Self {
+        Self::with_log(behaviour, outbound, WorkLog::default())
+    }
+
+    /// Creates a stand-in that reports its work to a log.
+    pub fn with_log(behaviour: BackendBehaviour, outbound: SocketAddr, log: WorkLog) -> Self {
         Self {
             state: Arc::new(BackendState {
                 slots: Semaphore::new(behaviour.slots),
@@ -67,7 +77,9 @@
                 outbound,
                 client: HttpClient::new(),
                 slowdown: AtomicU32::new(1),
+                is_draining: AtomicBool::new(false),
                 runs: AtomicU64::new(0),
+                log,
             }),
         }
     }
@@ -77,6 +89,11 @@
         self.state.slowdown.store(factor, Ordering::Relaxed);
     }
 
+    /// Announces on later responses that the backend server drains.
+    pub fn announce_drain(&self) {
+        self.state.is_draining.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the requests that were started so far.
     pub fn runs(&self) -> u64 {
         self.state.runs.load(Ordering::Relaxed)
@@ -89,7 +106,8 @@
         };
         state.runs.fetch_add(1, Ordering::Relaxed);
         let slowdown = state.slowdown.load(Ordering::Relaxed);
-        tokio::time::sleep(state.behaviour.service_time * slowdown).await;
+        self.spend(headers, state.behaviour.service_time * slowdown)
+            .await;
         for call in &state.behaviour.calls {
             let status = self.call(headers, call).await;
             if !status.is_success() {
@@ -100,6 +118,16 @@
         StatusCode::OK
     }
 
+    async fn spend(&self, headers: &HeaderMap, service_time: Duration) {
+        let request = request_headers::copied_call(headers).map(|(request, _)| request);
+        let _entry = WorkGuard {
+            log: &self.state.log,
+            request,
+            start: Instant::now(),
+        };
+        tokio::time::sleep(service_time).await;
+    }
+
     async fn call(&self, headers: &HeaderMap, call: &DownstreamCall) -> StatusCode {
         let mut request = Request::new(Body::default());
         *request.method_mut() = Method::GET;
@@ -111,10 +139,10 @@
         if let Ok(host) = call.service.parse() {
             request.headers_mut().insert(HOST, host);
         }
-        if let Some(copied) = headers.get(header_names::REQUEST) {
-            request
-                .headers_mut()
-                .insert(header_names::REQUEST, copied.clone());
+        for name in [header_names::REQUEST, header_names::TRACEPARENT] {
+            if let Some(copied) = headers.get(&name) {
+                request.headers_mut().insert(name, copied.clone());
+            }
         }
         let Ok(response) = self.state.client.send(self.state.outbound, request).await else {
             return StatusCode::BAD_GATEWAY;
@@ -127,6 +155,21 @@
     }
 }
 
+/// Logs the time spent, also when the caller cancels the request.
+struct WorkGuard<'a> {
+    log: &'a WorkLog,
+    request: Option<RequestId>,
+    start: Instant,
+}
+
+impl Drop for WorkGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            self.log.add(request, self.start.elapsed());
+        }
+    }
+}
+
 impl NewHandler for BackendServer {
     type Instance = Self;
 
@@ -149,6 +192,10 @@
             let body = Full::from(text).map_err(|never| match never {});
             let mut response = Response::new(Body::new(body));
             *response.status_mut() = status;
+            if self.state.is_draining.load(Ordering::Relaxed) {
+                let value = HeaderValue::from_static("1");
+                response.headers_mut().insert(header_names::DRAIN, value);
+            }
             Ok((state, response))
         }
         .boxed()
