--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,10 @@
     standin::{loopback_address, platform_service::PlatformService},
 };
 use std::{net::SocketAddr, sync::Mutex, time::Duration};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 /// Profile with a plain route, an idempotent route and a route that requires a ticket.
 pub const PROFILE: &str = r#"
@@ -104,6 +107,10 @@
         let admins = self.admins.lock().unwrap().clone();
         for admin in admins {
             wait_until("the change", async || {
+                if TcpStream::connect(admin).await.is_err() {
+                    // The daemon was ended by the test.
+                    return true;
+                }
                 let report = get(admin, "/profiles").await;
                 let report: Option<ProfilesReport> =
                     report.and_then(|text| serde_json::from_str(&text).ok());
