Report a published refusal to the gate when its body is cut

The gate already saw a refusal whose body arrived whole, but one with a cut body counted as aborted, so that the concurrency limit ignored it. The head alone tells that the backend server refused, so that it now decides. The new test fails without the change for the cut body only.

--- a/src/filter/backend_handler.rs
+++ b/src/filter/backend_handler.rs
@@ -96,8 +96,9 @@
                 request_headers::insert(&mut parts.headers, header_names::OUTCOME, outcome);
                 let body = TrackedBody::wrap(Body::new(body), move |is_complete| {
                     permit.finish(match (is_complete, outcome) {
+                        // The head alone tells that the backend server refused.
+                        (_, RunOutcome::NotRun) => WorkResult::Refused,
                         (false, _) => WorkResult::Aborted,
-                        (true, RunOutcome::NotRun) => WorkResult::Refused,
                         (true, _) => WorkResult::Completed,
                     });
                 });
--- a/tests/backend_outcomes.rs
+++ b/tests/backend_outcomes.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 use support::{
-    PROFILE, Seen, TestDaemon, TestPlatform, call, free_address,
+    PROFILE, Seen, TestDaemon, TestPlatform, call, free_address, get,
     raw_server::{Act, RawServer, ok},
     wait_until,
 };
@@ -103,6 +103,31 @@
     assert_eq!(seen.summary(), "503 ran ");
 }
 
+/// Concurrency limit of the admission gate.
+async fn limit(daemon: &TestDaemon) -> Option<u64> {
+    let status = get(daemon.settings.admin, "/status").await?;
+    let status: serde_json::Value = serde_json::from_str(&status).ok()?;
+    status["load"]["limit"].as_u64()
+}
+
+/// Guards against an admission gate that does not learn of a published refusal, also when the body
+/// of the refusal is cut short.
+#[tokio::test(flavor = "multi_thread")]
+async fn published_refusal_lowers_the_limit() {
+    for body in ["", "shor"] {
+        let head = "HTTP/1.1 503 Busy\r\nx-refused: busy\r\ncontent-length:";
+        let refusal = format!("{head} {}\r\n\r\n{body}", body.len() + body.len() / 4);
+        let backend = RawServer::start(move |_, _| Act::SendClose(refusal.clone())).await;
+        let daemon = start(&backend).await;
+        let before = limit(&daemon).await.unwrap();
+        call(daemon.settings.edge, "/plain", &[], "").await;
+        wait_until(&format!("the limit after {body:?}"), async || {
+            limit(&daemon).await.unwrap() < before
+        })
+        .await;
+    }
+}
+
 /// Guards against a second response on a connection that passes to the next caller.
 #[tokio::test(flavor = "multi_thread")]
 async fn second_response_reaches_nobody() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -279,7 +279,7 @@
 }
 
 /// Reads a page of the admin listener; `None` for any status but 200.
-async fn get(admin: SocketAddr, path: &str) -> Option<String> {
+pub async fn get(admin: SocketAddr, path: &str) -> Option<String> {
     let request = Request::get(format!("http://{admin}{path}")).body(Body::default());
     let response = HttpClient::new().send(admin, request.ok()?).await.ok()?;
     let status = response.status();
