Drop learned thresholds after a pause

Thresholds of called services were kept over a pause of the process and shed calls by a stale view. drop_stale_views now resets them; it is public, so that a test can call it. The new test fails without the call.

--- a/src/controller/overload_controller.rs
+++ b/src/controller/overload_controller.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Forgets all thresholds, which are stale after a pause of the process.
+    pub fn reset(&self) {
+        let mut thresholds = self.thresholds.lock();
+        thresholds.values_mut().for_each(ServiceThreshold::reset);
+    }
+
     /// Returns the `skylark-threshold` header for a caller: the own threshold, which also tells
     /// that everything is admitted again, and the known ones of the services that every request
     /// needs.
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -203,8 +203,9 @@
     }
 
     /// Drops the views that a pause of this process has made stale.
-    pub(super) fn drop_stale_views(&self, now: Instant) {
+    pub fn drop_stale_views(&self, now: Instant) {
         self.members.forgive_pause(now);
+        self.overload.reset();
         // The gate refuses expired requests before it starts any.
         self.gate.tick();
     }
--- a/tests/peer_outcomes.rs
+++ b/tests/peer_outcomes.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use skylarkstream::{
-    decision::routing::upstream_set::InstanceInfo, filter::upstream_slot::UpstreamSlot,
+    decision::{request_priority::RequestPriority, routing::upstream_set::InstanceInfo},
+    filter::upstream_slot::UpstreamSlot,
     shell::daemon::DaemonState,
 };
 use std::{
@@ -299,6 +300,26 @@
     wait_until("the cancellation", async || peer.cancelled() >= 1).await;
 }
 
+/// Guards against a threshold learned before a pause of the process that still sheds calls after it.
+#[tokio::test]
+async fn pause_drops_learned_thresholds() {
+    let address = free_address().await;
+    let settings = TestDaemon::settings("b-1", address, address).await;
+    let daemon = DaemonState::new(settings).unwrap();
+    let now = Instant::now();
+    for _ in 0..200 {
+        daemon.overload.observe("documents=2.7.0", now);
+    }
+    let admits = || {
+        let overload = &daemon.overload;
+        let lowest = RequestPriority::LOWEST;
+        overload.admits_call("documents", lowest, now) && overload.admits(lowest, now)
+    };
+    assert!(!admits());
+    daemon.drop_stale_views(now);
+    assert!(admits());
+}
+
 /// Guards against a cancelled attempt that stays in the in-flight count of its upstream.
 #[tokio::test]
 async fn dropped_attempt_gives_its_slot_back() {
