Count attempts given up by the sender as abandoned

A response body dropped because the caller went away, and a deadline that passed before the head of the response, counted as failures of the upstream, so that callers could eject it. A refusal that is dropped unread, as before a retry, counts as a refusal.

--- a/src/controller/upstream_controller.rs
+++ b/src/controller/upstream_controller.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Returns the number of ejected upstreams of a service.
+    pub fn ejected(&self, service: &str, now: Instant) -> usize {
+        self.sets
+            .get(service)
+            .map_or(0, |set| set.lock().ejected(now))
+    }
+
     /// Returns the attempts in flight at all upstreams of a service.
     pub fn total_in_flight(&self, service: &str) -> u32 {
         self.sets
--- a/src/filter/backend_handler.rs
+++ b/src/filter/backend_handler.rs
@@ -7,8 +7,12 @@
         request_context::RequestContext, run_outcome::RunOutcome,
     },
     filter::{
-        admission_filter::PermitState, identify_filter::CallState, metrics_filter::BackendTime,
-        refusal::RefusalError, request_headers, response_body::TrackedBody,
+        admission_filter::PermitState,
+        identify_filter::CallState,
+        metrics_filter::BackendTime,
+        refusal::RefusalError,
+        request_headers,
+        response_body::{BodyEnd, TrackedBody},
     },
     shell::{
         daemon::DaemonState,
@@ -94,12 +98,12 @@
                 request_headers::strip_hop_by_hop(&mut parts.headers);
                 request_headers::strip(&mut parts.headers);
                 request_headers::insert(&mut parts.headers, header_names::OUTCOME, outcome);
-                let body = TrackedBody::wrap(Body::new(body), move |is_complete| {
-                    permit.finish(match (is_complete, outcome) {
+                let body = TrackedBody::wrap(Body::new(body), move |end| {
+                    permit.finish(match (end, outcome) {
                         // The head alone tells that the backend server refused.
                         (_, RunOutcome::NotRun) => WorkResult::Refused,
-                        (false, _) => WorkResult::Aborted,
-                        (true, _) => WorkResult::Completed,
+                        (BodyEnd::Complete, _) => WorkResult::Completed,
+                        (BodyEnd::Cut | BodyEnd::Dropped, _) => WorkResult::Aborted,
                     });
                 });
                 Response::from_parts(parts, body)
--- a/src/filter/peer_attempt.rs
+++ b/src/filter/peer_attempt.rs
@@ -12,7 +12,7 @@
         recorded_run::{self, CollectedBody},
         refusal::RefusalError,
         request_headers::{self, AttemptHeaders},
-        response_body::TrackedBody,
+        response_body::{BodyEnd, TrackedBody},
         upstream_slot::UpstreamSlot,
     },
     shell::{
@@ -93,7 +93,11 @@
         match result {
             Ok(response) => self.finish(slot, outcome, response),
             Err(error) => {
-                slot.finish(AttemptResult::Failed);
+                slot.finish(match error {
+                    // A deadline may be too short for any upstream.
+                    RefusalError::DeadlineAfter => AttemptResult::Abandoned,
+                    _ => AttemptResult::Failed,
+                });
                 AttemptEnd {
                     outcome,
                     is_cancelled: false,
@@ -137,11 +141,13 @@
             parts.headers.remove(name);
         }
         request_headers::strip_hop_by_hop(&mut parts.headers);
-        let body = TrackedBody::wrap(body, move |is_complete| {
-            slot.finish(match (is_complete, outcome) {
-                (false, _) => AttemptResult::Failed,
-                (true, RunOutcome::NotRun) => AttemptResult::Refused,
-                (true, _) => AttemptResult::Answered,
+        let body = TrackedBody::wrap(body, move |end| {
+            slot.finish(match (end, outcome) {
+                (BodyEnd::Cut, _) => AttemptResult::Failed,
+                // A retry drops the refusal before it unread.
+                (_, RunOutcome::NotRun) => AttemptResult::Refused,
+                (BodyEnd::Complete, _) => AttemptResult::Answered,
+                (BodyEnd::Dropped, _) => AttemptResult::Abandoned,
             });
         });
         AttemptEnd {
--- a/src/filter/response_body.rs
+++ b/src/filter/response_body.rs
@@ -9,16 +9,24 @@
     task::{Context, Poll},
 };
 
+/// How a response body ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyEnd {
+    /// The whole body was received.
+    Complete,
+    /// The sender of the body ended it early or went silent.
+    Cut,
+    /// The receiver dropped the body before its end.
+    Dropped,
+}
+
 /// Streams the body of a response and calls a function once at its end.
-///
-/// The function gets true when the body was complete, and false when it was cut short or the
-/// receiver went away.
-pub struct TrackedBody<F: FnOnce(bool) + Send + Unpin> {
+pub struct TrackedBody<F: FnOnce(BodyEnd) + Send + Unpin> {
     inner: Body,
     on_end: Option<F>,
 }
 
-impl<F: FnOnce(bool) + Send + Unpin + 'static> TrackedBody<F> {
+impl<F: FnOnce(BodyEnd) + Send + Unpin + 'static> TrackedBody<F> {
     /// Wraps a body.
     pub fn wrap(inner: Body, on_end: F) -> Body {
         let mut body = Self {
@@ -26,21 +34,21 @@
             on_end: Some(on_end),
         };
         if body.inner.is_end_stream() {
-            body.end(true);
+            body.end(BodyEnd::Complete);
         }
         Body::new(body)
     }
 }
 
-impl<F: FnOnce(bool) + Send + Unpin> TrackedBody<F> {
-    fn end(&mut self, is_complete: bool) {
+impl<F: FnOnce(BodyEnd) + Send + Unpin> TrackedBody<F> {
+    fn end(&mut self, end: BodyEnd) {
         if let Some(on_end) = self.on_end.take() {
-            on_end(is_complete);
+            on_end(end);
         }
     }
 }
 
-impl<F: FnOnce(bool) + Send + Unpin> HttpBody for TrackedBody<F> {
+impl<F: FnOnce(BodyEnd) + Send + Unpin> HttpBody for TrackedBody<F> {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -50,9 +58,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(context);
         match &polled {
-            Poll::Ready(None) => self.end(true),
-            Poll::Ready(Some(Err(_))) => self.end(false),
-            Poll::Ready(Some(Ok(_))) if self.inner.is_end_stream() => self.end(true),
+            Poll::Ready(None) => self.end(BodyEnd::Complete),
+            Poll::Ready(Some(Err(_))) => self.end(BodyEnd::Cut),
+            Poll::Ready(Some(Ok(_))) if self.inner.is_end_stream() => self.end(BodyEnd::Complete),
             _ => {}
         }
         polled
@@ -67,8 +75,8 @@
     }
 }
 
-impl<F: FnOnce(bool) + Send + Unpin> Drop for TrackedBody<F> {
+impl<F: FnOnce(BodyEnd) + Send + Unpin> Drop for TrackedBody<F> {
     fn drop(&mut self) {
-        self.end(false);
+        self.end(BodyEnd::Dropped);
     }
 }
--- /dev/null
+++ b/tests/attempt_results.rs
@@ -0,0 +1,178 @@
+//! What the ends of attempts say about their upstream.
+
+mod support;
+
+use gotham::helpers::http::Body;
+use http::{HeaderMap, Method, uri::PathAndQuery};
+use http_body_util::BodyExt;
+use skylarkstream::{
+    decision::{
+        request_context::{CallId, RequestContext, RequestId},
+        request_priority::RequestPriority,
+        routing::{routing_config::RoutingConfig, upstream_set::InstanceInfo},
+    },
+    filter::{
+        peer_attempt::{AttemptEnd, PeerAttempt},
+        upstream_slot::UpstreamSlot,
+    },
+    shell::daemon::DaemonState,
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use support::{
+    TestDaemon, free_address,
+    raw_server::{Act, RawRequest, RawServer},
+};
+
+const LONG: Duration = Duration::from_secs(30);
+
+/// Daemon that sends attempts at one of four upstreams, which are enough for an ejection.
+struct Sender {
+    daemon: Arc<DaemonState>,
+    info: InstanceInfo,
+}
+
+impl Sender {
+    async fn new(peer: SocketAddr) -> Self {
+        let address = free_address().await;
+        let settings = TestDaemon::settings("b-1", address, address).await;
+        let daemon = Arc::new(DaemonState::new(settings).expect("a daemon"));
+        let mut members = Vec::new();
+        for (name, peer) in [
+            ("d-1", peer),
+            ("d-2", free_address().await),
+            ("d-3", free_address().await),
+            ("d-4", free_address().await),
+        ] {
+            members.push(InstanceInfo {
+                instance: name.into(),
+                data_centre: "dc-1".into(),
+                peer,
+                control: peer,
+                leaving: false,
+            });
+        }
+        daemon
+            .upstreams
+            .update("documents", &members, Instant::now());
+        let info = members.swap_remove(0);
+        Self { daemon, info }
+    }
+
+    async fn attempt(&self, deadline: Duration) -> AttemptEnd {
+        let service = "documents".into();
+        let upstreams = &self.daemon.upstreams;
+        let chosen = upstreams.choose_named("documents", "dc-1", "d-1");
+        let (key, _) = chosen.expect("the upstream");
+        let now = Instant::now();
+        let context = RequestContext {
+            request: RequestId(1),
+            call: CallId(2),
+            parent: None,
+            attempt: None,
+            priority: RequestPriority::LOWEST,
+            deadline: now + deadline,
+            entered: now,
+            allowance: 0,
+            depth: 0,
+            is_entry: true,
+            caller_service: "bookings".into(),
+        };
+        let attempt = PeerAttempt {
+            daemon: &self.daemon,
+            service: &service,
+            info: &self.info,
+            context: &context,
+            slice: 0,
+            progress: LONG,
+            method: &Method::GET,
+            path: &PathAndQuery::from_static("/"),
+            headers: &HeaderMap::new(),
+            ticket: None,
+        };
+        let slot = UpstreamSlot::new(&self.daemon, &service, key);
+        attempt.send(slot, Body::default()).await
+    }
+
+    /// Makes an attempt whose caller reads the whole response, or leaves after its head.
+    async fn call(&self, deadline: Duration, is_read: bool) {
+        let end = self.attempt(deadline).await;
+        if let Ok(response) = end.response
+            && is_read
+        {
+            let _ = response.into_body().collect().await;
+        }
+    }
+
+    fn ejected(&self) -> usize {
+        self.daemon.upstreams.ejected("documents", Instant::now())
+    }
+}
+
+fn limit() -> u32 {
+    RoutingConfig::default().eject_failures
+}
+
+/// Response of a peer whose body lacks its last chunk.
+fn unfinished(request: &RawRequest, outcome: &str) -> String {
+    let attempt = request.header("skylark-attempt").unwrap_or_default();
+    format!(
+        "HTTP/1.1 200 OK\r\nskylark-attempt: {attempt}\r\nskylark-outcome: {outcome}\r\n\
+         transfer-encoding: chunked\r\n\r\n5\r\nshort\r\n"
+    )
+}
+
+/// Guards against callers that leave before the end of a body and so eject the upstream, and against
+/// an upstream that cuts its bodies and stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_bodies_cut_by_the_upstream_eject_it() {
+    let open = RawServer::start(|_, request| Act::Send(unfinished(request, "ran"))).await;
+    let sender = Sender::new(open.address).await;
+    for _ in 0..limit() {
+        sender.call(LONG, false).await;
+    }
+    assert_eq!((open.runs(), sender.ejected()), (limit() as usize, 0));
+    let cut = RawServer::start(|_, request| Act::SendClose(unfinished(request, "ran"))).await;
+    let sender = Sender::new(cut.address).await;
+    for _ in 0..limit() {
+        sender.call(LONG, true).await;
+    }
+    assert_eq!(sender.ejected(), 1);
+}
+
+/// Guards against callers with short deadlines that eject an upstream, and against an upstream that
+/// breaks connections and stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_broken_connections_eject_an_upstream() {
+    let slow = RawServer::start(|_, _| Act::Hold).await;
+    let sender = Sender::new(slow.address).await;
+    for _ in 0..limit() {
+        sender.call(Duration::from_millis(100), true).await;
+    }
+    assert_eq!((slow.runs(), sender.ejected()), (limit() as usize, 0));
+    let broken = RawServer::start(|_, _| Act::SendClose(String::new())).await;
+    let sender = Sender::new(broken.address).await;
+    for _ in 0..limit() {
+        sender.call(LONG, true).await;
+    }
+    assert_eq!(sender.ejected(), 1);
+}
+
+/// Guards against a refusal that counts as a failure, or not at all, because a retry dropped its body.
+#[tokio::test(flavor = "multi_thread")]
+async fn dropped_refusal_is_a_sign_of_life() {
+    let refusing = limit() as usize - 1;
+    let peer = RawServer::start(move |number, request| match number == refusing {
+        true => Act::Send(unfinished(request, "not-run")),
+        false => Act::SendClose(unfinished(request, "ran")),
+    })
+    .await;
+    let sender = Sender::new(peer.address).await;
+    for number in 0..=limit() as usize {
+        sender.call(LONG, number != refusing).await;
+    }
+    assert_eq!(sender.ejected(), 0);
+}
