Bound refusal_ms and document it

refusal_ms took any value, so that a mistyped one could keep a draining daemon from ending, and the operators' page did not list it.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,6 +53,7 @@
     pub log: LogSettings,
     /// Time in milliseconds for which a draining daemon accepts connections and refuses their
     /// requests. Idle connections of other daemons end after 4 s; a shorter time can break them.
+    /// At most 60,000.
     #[serde(default = "default_refusal_ms")]
     pub refusal_ms: u64,
     /// Address that takes spans by OTLP over HTTP.
--- a/src/settings/settings_error.rs
+++ b/src/settings/settings_error.rs
@@ -2,7 +2,7 @@
 
 use super::{
     MAX_SETTINGS_BYTES,
-    settings_validation::{MAX_CALLS, MAX_SEED_PEERS},
+    settings_validation::{MAX_CALLS, MAX_REFUSAL_MS, MAX_SEED_PEERS},
 };
 use crate::{common::*, toml_location::KeyLocation};
 use std::path::PathBuf;
@@ -84,6 +84,9 @@
     /// Too many called services.
     #[error("At most {MAX_CALLS} called services are allowed.")]
     TooManyCalls,
+    /// A draining daemon would refuse requests for too long.
+    #[error("The time must be at most {MAX_REFUSAL_MS} ms.")]
+    RefusalTooLong,
     /// Spans have two destinations.
     #[error("Only one of `trace_endpoint` and `trace_file` can be set.")]
     TwoTraceExports,
--- a/src/settings/settings_validation.rs
+++ b/src/settings/settings_validation.rs
@@ -10,6 +10,9 @@
 pub(super) const MAX_SEED_PEERS: usize = 64;
 /// Most services that a backend server calls; the size to design for has 300 services.
 pub(super) const MAX_CALLS: usize = 300;
+/// Longest time for which a draining daemon refuses requests, in milliseconds. A mistyped time must
+/// not keep a daemon that drains from ending.
+pub(super) const MAX_REFUSAL_MS: u64 = 60_000;
 
 type Violation = (Vec<KeyStep>, SettingsViolation);
 
@@ -19,6 +22,9 @@
     check_addresses(settings)?;
     check_seed_peers(settings)?;
     check_calls(settings)?;
+    let is_bounded = settings.refusal_ms <= MAX_REFUSAL_MS;
+    let path = key_path!["refusal_ms"];
+    ensure(is_bounded, path, SettingsViolation::RefusalTooLong)?;
     let is_single = settings.trace_endpoint.is_none() || settings.trace_file.is_none();
     let path = key_path!["trace_file"];
     ensure(is_single, path, SettingsViolation::TwoTraceExports)
--- a/tests/settings_format.rs
+++ b/tests/settings_format.rs
@@ -57,6 +57,8 @@
             "[\"documents\"]",
             "[\"documents\", \"documents\"]",
         ),
+        ("longest refusal", "[log]", "refusal_ms = 60000\n[log]"),
+        ("too long refusal", "[log]", "refusal_ms = 60001\n[log]"),
         ("two exports", "[log]", "trace_file = \"t\"\n[log]"),
     ];
     let mut report = String::new();
