--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -237,11 +237,22 @@
     path: &str,
     headers: &[(&str, &str)],
     body: &str,
+) -> Result<Seen, SendError> {
+    try_send(Method::POST, address, path, headers, body).await
+}
+
+/// Sends a request with any method over a new connection.
+pub async fn try_send(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
 ) -> Result<Seen, SendError> {
     let mut request = Request::new(Body::new(
         Full::from(body.to_owned()).map_err(|never| match never {}),
     ));
-    *request.method_mut() = Method::POST;
+    *request.method_mut() = method;
     *request.uri_mut() = format!("http://{address}{path}").parse().unwrap();
     for (name, value) in headers {
         let name: http::HeaderName = name.parse().unwrap();
