Eject upstreams that hang, and name the deadline in its refusal

Cause: an attempt whose deadline passed counted as given up, so that an upstream that never answers kept its calls; a request that cannot finish in time was told that the service is overloaded. Change: a deadline that passes after the progress time counts as a failure; the refusal has its own message.

--- a/src/filter/peer_attempt.rs
+++ b/src/filter/peer_attempt.rs
@@ -93,9 +93,11 @@
         match result {
             Ok(response) => self.finish(slot, outcome, response),
             Err(error) => {
+                // A short deadline says nothing about the upstream, but one that passes after the
+                // progress time does: the upstream is hung or too slow to be of use.
+                let is_short = duration < self.progress;
                 slot.finish(match error {
-                    // A deadline may be too short for any upstream.
-                    RefusalError::DeadlineAfter => AttemptResult::Abandoned,
+                    RefusalError::DeadlineAfter if is_short => AttemptResult::Abandoned,
                     _ => AttemptResult::Failed,
                 });
                 AttemptEnd {
--- a/src/filter/refusal.rs
+++ b/src/filter/refusal.rs
@@ -37,7 +37,7 @@
     #[error("The service `{0}` is not declared in the settings of the daemon.")]
     UnknownService(SmolStr),
     /// The gate refused the request.
-    #[error("The service is overloaded.")]
+    #[error("{}", shed_message(*.0))]
     Shed(ShedReason),
     /// The deadline passed before the request was sent.
     #[error("The deadline passed before the request was sent.")]
@@ -107,6 +107,13 @@
     retry_after_ms: Option<u64>,
 }
 
+fn shed_message(reason: ShedReason) -> &'static str {
+    match reason {
+        ShedReason::Deadline => "The request cannot finish before its deadline.",
+        _ => "The service is overloaded.",
+    }
+}
+
 impl RefusalError {
     /// Returns what is known about the execution of the request.
     pub fn outcome(&self) -> RunOutcome {
--- a/tests/attempt_results.rs
+++ b/tests/attempt_results.rs
@@ -33,6 +33,7 @@
 struct Sender {
     daemon: Arc<DaemonState>,
     info: InstanceInfo,
+    progress: Duration,
 }
 
 impl Sender {
@@ -59,7 +60,11 @@
             .upstreams
             .update("documents", &members, Instant::now());
         let info = members.swap_remove(0);
-        Self { daemon, info }
+        Self {
+            daemon,
+            info,
+            progress: LONG,
+        }
     }
 
     async fn attempt(&self, deadline: Duration) -> AttemptEnd {
@@ -87,7 +92,7 @@
             info: &self.info,
             context: &context,
             slice: 0,
-            progress: LONG,
+            progress: self.progress,
             method: &Method::GET,
             path: &PathAndQuery::from_static("/"),
             headers: &HeaderMap::new(),
@@ -161,6 +166,18 @@
     assert_eq!(sender.ejected(), 1);
 }
 
+/// Guards against an upstream that accepts connections, never answers, and stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn hung_upstream_is_ejected() {
+    let hung = RawServer::start(|_, _| Act::Hold).await;
+    let mut sender = Sender::new(hung.address).await;
+    sender.progress = Duration::from_millis(50);
+    for _ in 0..limit() {
+        sender.call(Duration::from_millis(100), true).await;
+    }
+    assert_eq!(sender.ejected(), 1);
+}
+
 /// Guards against a refusal that counts as a failure, or not at all, because a retry dropped its body.
 #[tokio::test(flavor = "multi_thread")]
 async fn dropped_refusal_is_a_sign_of_life() {
