Apply the ramp, the shedding order and the retry times of a profile

Cause: 'shedding.within_class', 'upstream.ramp_time_ms' and 'retry.retry_after_*' were accepted and printed but had no effect. Two values applied at once could also reach the gate in the wrong order. Change: the daemon puts them in force with the profile, under one lock; the queue orders by the profile's rule. Before: no code outside the profile module read these keys. The ramp time has no test of its own through a daemon.

--- a/src/controller/gate_controller.rs
+++ b/src/controller/gate_controller.rs
@@ -7,7 +7,7 @@
             AdmissionGate, GateDecision, GateKey, GateRequest, ShedReason, WorkResult,
         },
         clock::Clock,
-        profile::service_profile::AdmissionLimits,
+        profile::service_profile::{AdmissionLimits, ServiceProfile},
         request_priority::RequestPriority,
     },
 };
@@ -78,8 +78,10 @@
     }
 
     /// Puts the bounds of a new profile in force.
-    pub fn set_limits(&self, limits: AdmissionLimits) {
-        self.state.lock().gate.set_limits(limits);
+    pub fn set_profile(&self, profile: &ServiceProfile) {
+        let mut state = self.state.lock();
+        state.gate.set_limits(profile.admission.clone());
+        state.gate.set_order(profile.shedding.within_class);
     }
 
     /// Returns the lowest priority that is admitted now.
--- a/src/decision/admission/admission_gate.rs
+++ b/src/decision/admission/admission_gate.rs
@@ -10,7 +10,7 @@
             fair_share::FairShare,
             service_time::ServiceTime,
         },
-        profile::service_profile::AdmissionLimits,
+        profile::{profile_limits::ShedOrder, service_profile::AdmissionLimits},
         request_priority::RequestPriority,
     },
 };
@@ -134,6 +134,11 @@
         self.limits = limits;
     }
 
+    /// Puts the order of shedding within a class in force.
+    pub fn set_order(&mut self, order: ShedOrder) {
+        self.queue.set_order(order);
+    }
+
     /// Offers a request; its decision comes out of a later [`AdmissionGate::poll`].
     pub fn offer(&mut self, request: GateRequest, now: Instant) -> GateKey {
         let key = self.entries.insert(GateEntry::default());
--- a/src/decision/admission/admission_queue.rs
+++ b/src/decision/admission/admission_queue.rs
@@ -8,6 +8,7 @@
             fair_share::FairShare,
             priority_level::PriorityLevel,
         },
+        profile::profile_limits::ShedOrder,
         request_priority::RequestPriority,
     },
 };
@@ -27,11 +28,12 @@
     offered: Instant,
 }
 
-/// Waiting requests, ordered by class, then work already started before new roots, then marked
-/// retries last, then the use of their calling service, then age and rank.
+/// Waiting requests, ordered by class, then work already started before new roots and marked retries
+/// last in the order of the profile, then the use of their calling service, then age and rank.
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
     waiting: Vec<WaitingRequest>,
+    order: ShedOrder,
 }
 
 impl AdmissionQueue {
@@ -44,6 +46,11 @@
         });
     }
 
+    /// Puts the order within a class in force.
+    pub fn set_order(&mut self, order: ShedOrder) {
+        self.order = order;
+    }
+
     /// Removes a request that is no longer wanted.
     pub fn remove(&mut self, key: GateKey) {
         self.waiting.retain(|waiting| waiting.key != key);
@@ -78,8 +85,8 @@
     pub fn take_next(&mut self, share: &FairShare, now: Instant) -> Option<(GateKey, GateRequest)> {
         let (index, _) = self.waiting.iter().enumerate().min_by(|(_, a), (_, b)| {
             let used = |waiting: &WaitingRequest| share.used(&waiting.request.caller_service, now);
-            Self::group(&a.request)
-                .cmp(&Self::group(&b.request))
+            self.group(&a.request)
+                .cmp(&self.group(&b.request))
                 .then_with(|| used(a).total_cmp(&used(b)))
                 .then_with(|| Self::age(&a.request, now).cmp(&Self::age(&b.request, now)))
                 .then_with(|| a.request.priority.rank.cmp(&b.request.priority.rank))
@@ -113,7 +120,7 @@
                 let request = &waiting.request;
                 (
                     callers[&request.caller_service],
-                    request.is_entry,
+                    self.group(request),
                     request.priority,
                 )
             })?;
@@ -140,9 +147,12 @@
             .collect()
     }
 
-    fn group(request: &GateRequest) -> (u8, bool, bool) {
+    fn group(&self, request: &GateRequest) -> (u8, bool, bool) {
         let RequestPriority { class, retry, .. } = request.priority;
-        (class, request.is_entry, retry)
+        match self.order {
+            ShedOrder::NewRootsFirst => (class, request.is_entry, retry),
+            ShedOrder::RetriesFirst => (class, retry, request.is_entry),
+        }
     }
 
     fn age(request: &GateRequest, now: Instant) -> Reverse<u128> {
--- a/src/decision/retry/retry_after.rs
+++ b/src/decision/retry/retry_after.rs
@@ -1,6 +1,9 @@
 //! Time after which a refused caller may come back.
 
-use crate::{common::*, decision::request_priority::RequestPriority};
+use crate::{
+    common::*,
+    decision::{profile::service_profile::RetryLimits, request_priority::RequestPriority},
+};
 
 /// Spreads returning callers over a window.
 ///
@@ -18,6 +21,14 @@
         Self { earliest, window }
     }
 
+    /// Creates the spread of a profile.
+    pub fn for_profile(limits: &RetryLimits) -> Self {
+        Self::new(
+            Duration::from_millis(limits.retry_after_ms.into()),
+            Duration::from_millis(limits.retry_after_window_ms.into()),
+        )
+    }
+
     /// Returns the time after which a request of this priority may be repeated.
     pub fn for_request(&self, priority: RequestPriority) -> Duration {
         self.earliest + self.window * u32::from(priority.rank) / (1 << 16)
--- a/src/decision/routing/routing_config.rs
+++ b/src/decision/routing/routing_config.rs
@@ -1,6 +1,6 @@
 //! Parameters of the choice of upstreams.
 
-use crate::common::*;
+use crate::{common::*, decision::profile::profile_limits::UpstreamLimits};
 
 /// Parameters of the cold-start ramp, of ejection and of spill.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +25,16 @@
     pub max_spill_percent: u64,
 }
 
+impl RoutingConfig {
+    /// Returns the parameters of a service with the times of its profile.
+    pub fn for_profile(limits: &UpstreamLimits) -> Self {
+        Self {
+            ramp_time: Duration::from_millis(limits.ramp_time_ms.into()),
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for RoutingConfig {
     fn default() -> Self {
         Self {
--- a/src/filter/admission_filter.rs
+++ b/src/filter/admission_filter.rs
@@ -56,7 +56,11 @@
                     state.put(PermitState(permit));
                     chain(state).await?
                 }
-                Err(reason) => (state, RefusalError::Shed(reason).to_response_for(priority)),
+                Err(reason) => {
+                    let spread = self.daemon.retry_after();
+                    let error = RefusalError::Shed(reason);
+                    (state, error.to_response_for(priority, &spread))
+                }
             };
             let own = self.daemon.gate.threshold_for(&caller);
             let header = self.daemon.overload.header(
--- a/src/filter/refusal.rs
+++ b/src/filter/refusal.rs
@@ -205,9 +205,13 @@
     }
 
     /// Builds the answer for the caller, with the time to come back spread by rank.
-    pub fn to_response_for(&self, priority: RequestPriority) -> Response<Body> {
-        let spread = RetryAfter::default().for_request(priority);
-        self.build(spread.as_millis() as u64)
+    pub fn to_response_for(
+        &self,
+        priority: RequestPriority,
+        spread: &RetryAfter,
+    ) -> Response<Body> {
+        let time = spread.for_request(priority);
+        self.build(time.as_millis() as u64)
     }
 
     fn build(&self, retry_after_ms: u64) -> Response<Body> {
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -25,7 +25,8 @@
         once::ticket_issuer::TicketIssuer,
         profile::service_profile::AdmissionLimits,
         request_context::AttemptId,
-        routing::upstream_set::InstanceInfo,
+        retry::retry_after::RetryAfter,
+        routing::{routing_config::RoutingConfig, upstream_set::InstanceInfo},
     },
     filter::{
         attempt_filter::ATTEMPT_LIMITS,
@@ -70,6 +71,7 @@
     pub profiles: ProfileController,
     /// Catalogue exchange with other daemons.
     pub gossip: Arc<GossipController>,
+    applying: Mutex<()>,
     /// Gate of the own backend server.
     pub gate: Arc<GateController>,
     /// Ledgers of the calls in flight.
@@ -132,6 +134,7 @@
         let own = own_record(&settings, incarnation);
         let gossip = GossipController::new(node_settings(&settings), Arc::clone(&clock));
         Ok(Self {
+            applying: Mutex::default(),
             members: MembershipController::new(own, Arc::clone(&upstreams), clock.now()),
             lifecycle: LifecycleController::new(incarnation),
             gate: Arc::new(GateController::new(
@@ -228,15 +231,29 @@
 
     /// Puts a value in force.
     fn apply(&self, applied: &AppliedValue) {
-        let own = &self.settings.service;
-        let before = self.profiles.get(own);
+        // Without the lock, an older profile could reach the gate after a newer one.
+        let _ordered = self.applying.lock();
         self.profiles.apply(applied, |applied| self.follow(applied));
-        let Some(in_force) = self.profiles.get(own) else {
+        if matches!(applied.value, CatalogueValue::Instances(_)) {
             return;
-        };
-        if before.is_none_or(|before| !Arc::ptr_eq(&before.profile, &in_force.profile)) {
-            self.gate.set_limits(in_force.profile.admission.clone());
         }
+        if let Some(in_force) = self.profiles.get(&self.settings.service) {
+            self.gate.set_profile(&in_force.profile);
+        }
+        for service in known_services(&self.settings) {
+            if let Some(in_force) = self.profiles.get(&service) {
+                let config = RoutingConfig::for_profile(&in_force.profile.upstream);
+                self.upstreams.set_config(&service, config);
+            }
+        }
+    }
+
+    /// Returns the times to come back for refused callers of the own service.
+    pub fn retry_after(&self) -> RetryAfter {
+        let in_force = self.profiles.get(&self.settings.service);
+        in_force.map_or_else(RetryAfter::default, |entry| {
+            RetryAfter::for_profile(&entry.profile.retry)
+        })
     }
 }
 
