Refuse a profile whose name is not that of its key

Cause: a profile published under another name came into force and was reported under a name that no service selects. Before: the new test finds the value accepted, as nothing compared the names. After: it passes, and so does the whole suite.

--- a/src/decision/catalogue/catalogue_value.rs
+++ b/src/decision/catalogue/catalogue_value.rs
@@ -37,6 +37,9 @@
     /// The value is not of the published form.
     #[error("The value cannot be read: {0}")]
     Syntax(#[from] toml::de::Error),
+    /// The name in the profile is not that of its key.
+    #[error("The profile is named `{0}`, which is not the name in its key.")]
+    Name(SmolStr),
     /// No value is published under keys of this kind.
     #[error("The key `{0}` is of an unknown kind.")]
     Kind(SmolStr),
@@ -63,7 +66,13 @@
         }
         let text = std::str::from_utf8(bytes).map_err(|_| ValueError::Encoding)?;
         match key.split_once('/') {
-            Some(("profiles", _)) => Ok(Self::Profile(Arc::new(text.parse()?))),
+            Some(("profiles", name)) => {
+                let profile: ServiceProfile = text.parse()?;
+                if profile.name != name {
+                    return Err(ValueError::Name(profile.name));
+                }
+                Ok(Self::Profile(Arc::new(profile)))
+            }
             Some(("services", _)) => {
                 let selection: ServiceSelection = toml::from_str(text)?;
                 Ok(Self::Selection(selection.profile))
--- a/tests/catalogue/message_decoders.rs
+++ b/tests/catalogue/message_decoders.rs
@@ -4,7 +4,7 @@
 use skylarkstream::decision::catalogue::{
     catalogue_index::{CatalogueIndex, MAX_KEYS, MergeResult},
     catalogue_message::{IndexDelta, IndexDigest},
-    catalogue_value::CatalogueValue,
+    catalogue_value::{CatalogueValue, ValueError},
     peer_view::PeerView,
     piece_assembler::{PIECE_BYTES, PieceAssembler, ValuePiece, cut_piece},
     reader_choice::ReaderChoice,
@@ -45,6 +45,15 @@
     });
 }
 
+/// Guards against a profile that is selected by one name and reported under another.
+#[test]
+fn profile_under_another_name_is_refused() {
+    let text = b"name = \"a\"\ndefault_class = \"c\"\nclasses = { c = 0 }";
+    assert!(CatalogueValue::parse("profiles/a", text).is_ok());
+    let refused = CatalogueValue::parse("profiles/b", text);
+    assert!(matches!(refused, Err(ValueError::Name(name)) if name == "a"));
+}
+
 /// Guards against messages that change on their way.
 #[test]
 fn messages_survive_a_round_trip() {
