Explain refusals during a drain and by the services below

Cause: 'explain' said that a request is admitted while the daemon drains or while the learned threshold of the only called service sheds it. Change: the explanation takes the phase and the lower of both thresholds.

--- a/src/controller/overload_controller.rs
+++ b/src/controller/overload_controller.rs
@@ -31,6 +31,16 @@
         !self.is_single_path || thresholds.values().all(|known| known.admits(priority, now))
     }
 
+    /// Returns the lowest priority that is worth starting at the own backend server.
+    pub fn lowest_admitted(&self, now: Instant) -> RequestPriority {
+        let thresholds = self.thresholds.lock();
+        let known = thresholds.values().filter_map(|known| known.priority(now));
+        known
+            .filter(|_| self.is_single_path)
+            .min()
+            .unwrap_or(RequestPriority::LOWEST)
+    }
+
     /// Returns whether a call to a service is worth sending.
     pub fn admits_call(&self, service: &str, priority: RequestPriority, now: Instant) -> bool {
         let thresholds = self.thresholds.lock();
--- a/src/decision/profile/request_explanation.rs
+++ b/src/decision/profile/request_explanation.rs
@@ -4,7 +4,10 @@
     route_rule::{RouteRule, TicketRule},
     service_profile::ServiceProfile,
 };
-use crate::{common::*, decision::request_priority::RequestPriority};
+use crate::{
+    common::*,
+    decision::{lifecycle::lifecycle_phase::LifecyclePhase, request_priority::RequestPriority},
+};
 
 /// Methods that may run more than once when no route says otherwise.
 const SAFE_METHODS: [&str; 4] = ["GET", "HEAD", "OPTIONS", "TRACE"];
@@ -26,10 +29,12 @@
     pub retry: bool,
 }
 
-/// State of the admission gate.
+/// State of a daemon that decides on a request.
 #[derive(Clone, Copy, Debug)]
 pub struct GateView {
-    /// Lowest priority that is admitted.
+    /// Phase of the daemon.
+    pub phase: LifecyclePhase,
+    /// Lowest priority that is admitted, here and by the services that every request needs.
     pub threshold: RequestPriority,
     /// Requests in flight.
     pub in_flight: u32,
@@ -111,7 +116,9 @@
         let class = class_name(profile, rule, query)?;
         let class_level = profile.classes[&class];
         let ticket = rule.map_or(TicketRule::Optional, |rule| rule.ticket);
-        let (verdict, reason, message) = if ticket == TicketRule::Required && !query.ticket {
+        let (verdict, reason, message) = if let Some(refusal) = refusal_of_phase(gate.phase) {
+            refusal
+        } else if ticket == TicketRule::Required && !query.ticket {
             let message = "The route needs a ticket, which the refusal hands out.".to_owned();
             (ExplainVerdict::Refused, "ticket-required", message)
         } else {
@@ -141,6 +148,17 @@
     }
 }
 
+fn refusal_of_phase(phase: LifecyclePhase) -> Option<(ExplainVerdict, &'static str, String)> {
+    let (reason, message) = match phase {
+        LifecyclePhase::Serving => return None,
+        LifecyclePhase::Starting => ("starting", "The daemon does not serve yet."),
+        LifecyclePhase::Draining | LifecyclePhase::Stopped => {
+            ("draining", "The daemon drains and takes no new work.")
+        }
+    };
+    Some((ExplainVerdict::Refused, reason, message.to_owned()))
+}
+
 fn class_name(
     profile: &ServiceProfile,
     rule: Option<&RouteRule>,
--- a/src/shell/admin_server.rs
+++ b/src/shell/admin_server.rs
@@ -119,8 +119,10 @@
         .get(service)
         .ok_or_else(|| QuestionError::NoProfile(service.clone()))?;
     let load = daemon.gate.load();
+    let below = daemon.overload.lowest_admitted(daemon.clock.now());
     let gate = GateView {
-        threshold: daemon.gate.threshold(),
+        phase: daemon.lifecycle.phase(),
+        threshold: daemon.gate.threshold().min(below),
         in_flight: load.in_flight,
         queued: load.queued,
         limit: load.limit,
--- a/tests/operator_view.rs
+++ b/tests/operator_view.rs
@@ -7,6 +7,7 @@
     controller::gate_controller::GateLoad,
     decision::{
         catalogue::catalogue_report::{CatalogueReport, KeyRefusal, KeyReport, ValueSource},
+        lifecycle::lifecycle_phase::LifecyclePhase,
         profile::{
             request_explanation::{ExplainQuery, GateView, RequestExplanation},
             service_profile::{RetryLimits, ServiceProfile},
@@ -120,12 +121,14 @@
         rank: 40_960,
     };
     let free = GateView {
+        phase: LifecyclePhase::Serving,
         threshold: RequestPriority::LOWEST,
         in_flight: 79,
         queued: 0,
         limit: 80,
     };
     let busy = GateView {
+        phase: LifecyclePhase::Serving,
         threshold,
         in_flight: 80,
         queued: 9,
@@ -135,7 +138,12 @@
         queued: 100,
         ..busy
     };
+    let draining = GateView {
+        phase: LifecyclePhase::Draining,
+        ..free
+    };
     let cases = [
+        ("draining", "method=GET&path=/assignments/7", draining),
         ("free slot", "method=GET&path=/assignments/7", free),
         ("no ticket", "method=POST&path=/assignments", free),
         (
