Measure the lag of profiles from their first sight

Cause: skylark_profile_lag_seconds stayed empty since the catalogue replaced the loop that observed it. Change: the catalogue notes the first sight of the latest version of each key and hands the lag over with the value. Before: no code observed the lag. After: it is observed for each profile that comes into force; lag_counts_from_the_first_sight_of_a_version passes.

--- a/src/decision/catalogue.rs
+++ b/src/decision/catalogue.rs
@@ -17,4 +17,5 @@
 pub mod reader_choice;
 pub mod value_book;
 pub mod value_store;
+pub mod version_sightings;
 pub mod version_stamp;
--- a/src/decision/catalogue/catalogue_message.rs
+++ b/src/decision/catalogue/catalogue_message.rs
@@ -77,4 +77,6 @@
     pub value: CatalogueValue,
     /// Source of the value.
     pub source: ValueSource,
+    /// Time from the first sight of the version until it came into force.
+    pub lag: Duration,
 }
--- a/src/decision/catalogue/catalogue_node.rs
+++ b/src/decision/catalogue/catalogue_node.rs
@@ -14,6 +14,7 @@
     piece_assembler::{ValuePiece, cut_piece},
     platform_schedule::{PlatformSchedule, ReaderNeeds},
     value_book::ValueBook,
+    version_sightings::VersionSightings,
     version_stamp::{ContentDigest, IndexRecord, VersionStamp},
 };
 use crate::common::*;
@@ -44,6 +45,7 @@
     rng: Pcg64Mcg,
     index: CatalogueIndex,
     book: ValueBook,
+    sightings: VersionSightings,
     view: PeerView,
     largest_fleet: usize,
     roles: CatalogueRoles,
@@ -67,6 +69,7 @@
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
             index: CatalogueIndex::new(),
             book: ValueBook::default(),
+            sightings: VersionSightings::default(),
             view: PeerView::default(),
             largest_fleet: 0,
             roles: CatalogueRoles::new(settings.own.clone()),
@@ -208,6 +211,7 @@
     ) -> Vec<CatalogueAction> {
         self.fetches.remove(key, stamp.version);
         if self.index.merge_latest(key, stamp) == MergeResult::Newer {
+            self.sightings.note(key, stamp.version, now);
             self.push.add(key);
         }
         let is_current = self.index.is_current(key, stamp);
@@ -248,6 +252,7 @@
         self.platform.on_index(call, revision, now);
         for (key, stamp) in stamps {
             if self.index.merge_latest(key, *stamp) == MergeResult::Newer {
+                self.sightings.note(key, stamp.version, now);
                 // A reader pushes the record once it has the value that peers will ask for.
                 if self.roles.is_reader {
                     self.roles.announce(key, now);
@@ -331,6 +336,7 @@
         let mut has_changed = false;
         for record in records {
             if self.index.merge(record) == MergeResult::Newer {
+                self.sightings.note(&record.key, record.latest.version, now);
                 self.push.add(&record.key);
                 if let Some(valid) = record.valid {
                     self.fetches.wake(&record.key, valid, teller, now);
@@ -399,9 +405,10 @@
         if !self.is_gathered {
             return Vec::new();
         }
-        let Some(applied) = self.book.apply(key, &self.index, &self.roles, now) else {
+        let Some(mut applied) = self.book.apply(key, &self.index, &self.roles, now) else {
             return Vec::new();
         };
+        applied.lag = self.sightings.lag(key, applied.stamp.version, now);
         let mut actions = vec![CatalogueAction::Apply(applied.clone())];
         match applied.value {
             CatalogueValue::Instances(instances) => {
--- a/src/decision/catalogue/value_book.rs
+++ b/src/decision/catalogue/value_book.rs
@@ -119,6 +119,7 @@
             stamp,
             value,
             source,
+            lag: Duration::ZERO,
         })
     }
 
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -237,6 +237,9 @@
         if matches!(applied.value, CatalogueValue::Instances(_)) {
             return;
         }
+        if matches!(applied.value, CatalogueValue::Profile(_)) {
+            self.metrics.observe_profile_lag(applied.lag);
+        }
         if let Some(in_force) = self.profiles.get(&self.settings.service) {
             self.gate.set_profile(&in_force.profile);
         }
--- a/tests/catalogue/message_decoders.rs
+++ b/tests/catalogue/message_decoders.rs
@@ -8,9 +8,11 @@
     peer_view::PeerView,
     piece_assembler::{PIECE_BYTES, PieceAssembler, ValuePiece, cut_piece},
     reader_choice::ReaderChoice,
+    version_sightings::VersionSightings,
     version_stamp::{ContentDigest, IndexRecord, VersionStamp},
 };
 use skylarkstream::shell::platform_client::IndexChange;
+use std::time::{Duration, Instant};
 
 fn repeat(property: fn(&mut Unstructured<'_>) -> arbitrary::Result<()>) {
     for seed in 1..=200_u64 {
@@ -45,6 +47,20 @@
     });
 }
 
+/// Guards against a lag that restarts at each sight of a version or counts that of another one.
+#[test]
+fn lag_counts_from_the_first_sight_of_a_version() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut sightings = VersionSightings::default();
+    let key = "profiles/a".into();
+    for (version, seconds) in [(1, 0), (2, 3), (2, 4), (1, 5)] {
+        sightings.note(&key, version, at(seconds));
+    }
+    assert_eq!(sightings.lag(&key, 2, at(7)), Duration::from_secs(4));
+    assert_eq!(sightings.lag(&key, 1, at(7)), Duration::ZERO);
+}
+
 /// Guards against a profile that is selected by one name and reported under another.
 #[test]
 fn profile_under_another_name_is_refused() {
