--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -24,7 +24,7 @@
 
 const PROFILE: &str = "default_class = \"roster\"\nclasses = { roster = 3 }\n";
 
-/// Instances of one list of phantoms.
+/// Instances of one list of synthetic instances.
 const LIST_LENGTH: usize = 8;
 
 /// Processor ticks per second in `/proc`.
@@ -47,7 +47,7 @@
     keys: usize,
     /// Further instances in the lists, whose addresses are those of the daemons
     #[bpaf(argument("N"), fallback(0))]
-    phantoms: usize,
+    synthetic: usize,
     /// Changes per hour while the cost is measured
     #[bpaf(argument("N"), fallback(0))]
     changes_per_hour: u32,
@@ -107,7 +107,7 @@
 
 /// Time for the values to reach their holders before the cost is measured.
 fn settle_time(arguments: &Arguments) -> Duration {
-    let lists = arguments.phantoms.div_ceil(LIST_LENGTH);
+    let lists = arguments.synthetic.div_ceil(LIST_LENGTH);
     Duration::from_secs((15 + arguments.keys / 40 + lists / 5) as u64)
 }
 
@@ -142,7 +142,7 @@
         "instances/shared",
         (0..arguments.daemons).map(entry).collect::<String>(),
     );
-    let phantom = |index: usize| {
+    let synthetic = |index: usize| {
         let control = ports[6 * (index % arguments.daemons)];
         list_entry(
             &format!("p-{index}"),
@@ -150,8 +150,8 @@
             control,
         )
     };
-    for first in (0..arguments.phantoms).step_by(LIST_LENGTH) {
-        let list: String = (first..first + LIST_LENGTH).map(phantom).collect();
+    for first in (0..arguments.synthetic).step_by(LIST_LENGTH) {
+        let list: String = (first..first + LIST_LENGTH).map(synthetic).collect();
         platform.publish(&format!("instances/p-{first}"), list);
     }
     platform.publish("services/shared", "profile = \"shared\"");
@@ -327,13 +327,13 @@
     let received = mean_max(|sample| sample.received);
     let memory = mean_max(|sample| sample.memory_mb);
     println!(
-        "daemons {} keys {} phantoms {} changes/h {}: ready {:.1} s; in force median {} ms, \
+        "daemons {} keys {} synthetic {} changes/h {}: ready {:.1} s; in force median {} ms, \
          longest {} ms; processor {:.2}% mean, {:.2}% highest; sent {:.0} B/s mean, {:.0} highest; \
          received {:.0} B/s mean, {:.0} highest; memory {:.1} MB mean, {:.1} highest; \
          platform {:.2} calls/s",
         arguments.daemons,
         arguments.keys,
-        arguments.phantoms,
+        arguments.synthetic,
         arguments.changes_per_hour,
         ready.as_secs_f64(),
         spread_ms(spread.len() / 2),
--- a/src/decision/catalogue/catalogue_node.rs
+++ b/src/decision/catalogue/catalogue_node.rs
@@ -132,7 +132,7 @@
             let (view, rng) = (&self.view, &mut self.rng);
             match self
                 .roles
-                .fetch_peer(view, &key, fetch.teller, fetch.tries, rng)
+                .fetch_peer(view, &key, fetch.announcer, fetch.tries, rng)
             {
                 Some(peer) => actions.push(CatalogueAction::Fetch(peer, key, stamp)),
                 None => self.fetches.fail(&key, stamp.version, now),
@@ -332,20 +332,20 @@
         actions
     }
 
-    fn merge(&mut self, records: &[IndexRecord], teller: Option<SocketAddr>, now: Instant) {
+    fn merge(&mut self, records: &[IndexRecord], announcer: Option<SocketAddr>, now: Instant) {
         let mut has_changed = false;
         for record in records {
             if self.index.merge(record) == MergeResult::Newer {
                 self.sightings.note(&record.key, record.latest.version, now);
                 self.push.add(&record.key);
                 if let Some(valid) = record.valid {
-                    self.fetches.wake(&record.key, valid, teller, now);
+                    self.fetches.wake(&record.key, valid, announcer, now);
                 }
                 has_changed = true;
             }
         }
         if has_changed {
-            self.plan_fetches(now, teller);
+            self.plan_fetches(now, announcer);
         }
     }
 
@@ -377,7 +377,7 @@
             .retain(|key, stamp| index.is_current(key, stamp) && roles.wants(key));
     }
 
-    fn plan_fetches(&mut self, now: Instant, teller: Option<SocketAddr>) {
+    fn plan_fetches(&mut self, now: Instant, announcer: Option<SocketAddr>) {
         self.is_plan_due = false;
         for record in self.index.records() {
             if !self.roles.wants(&record.key) {
@@ -386,7 +386,7 @@
             let older = record.valid.filter(|valid| *valid != record.latest);
             for stamp in std::iter::once(record.latest).chain(older) {
                 if self.book.get(&record.key, stamp).is_none() {
-                    self.fetches.add(&record.key, stamp, teller, now);
+                    self.fetches.add(&record.key, stamp, announcer, now);
                 }
             }
         }
--- a/src/decision/catalogue/catalogue_roles.rs
+++ b/src/decision/catalogue/catalogue_roles.rs
@@ -101,7 +101,7 @@
         &self,
         view: &PeerView,
         key: &str,
-        teller: Option<SocketAddr>,
+        announcer: Option<SocketAddr>,
         tries: u32,
         rng: &mut Pcg64Mcg,
     ) -> Option<SocketAddr> {
@@ -122,7 +122,7 @@
             .filter(|control| *control != self.own.control)
             .collect();
         if !is_remote || candidates.is_empty() {
-            candidates.extend(teller);
+            candidates.extend(announcer);
         }
         if candidates.is_empty() {
             return None;
--- a/src/decision/catalogue/fetch_plan.rs
+++ b/src/decision/catalogue/fetch_plan.rs
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 struct FetchEntry {
     stamp: VersionStamp,
-    teller: Option<SocketAddr>,
+    announcer: Option<SocketAddr>,
     tries: u32,
     next_at: Instant,
     is_running: bool,
@@ -41,7 +41,7 @@
     /// Version to fetch.
     pub stamp: VersionStamp,
     /// Peer that announced the version.
-    pub teller: Option<SocketAddr>,
+    pub announcer: Option<SocketAddr>,
     /// Failed fetches so far.
     pub tries: u32,
 }
@@ -52,13 +52,13 @@
         &mut self,
         key: &SmolStr,
         stamp: VersionStamp,
-        teller: Option<SocketAddr>,
+        announcer: Option<SocketAddr>,
         now: Instant,
     ) {
         let entry = self.entries.entry((key.clone(), stamp.version));
         entry.or_insert(FetchEntry {
             stamp,
-            teller,
+            announcer,
             tries: 0,
             next_at: now,
             is_running: false,
@@ -70,12 +70,12 @@
         &mut self,
         key: &str,
         stamp: VersionStamp,
-        teller: Option<SocketAddr>,
+        announcer: Option<SocketAddr>,
         now: Instant,
     ) {
         let entry = self.entries.get_mut(&(key.into(), stamp.version));
         if let Some(entry) = entry.filter(|entry| !entry.is_running) {
-            entry.teller = teller;
+            entry.announcer = announcer;
             entry.next_at = now;
         }
     }
@@ -101,7 +101,7 @@
             due.push(DueFetch {
                 key: key.clone(),
                 stamp: entry.stamp,
-                teller: entry.teller,
+                announcer: entry.announcer,
                 tries: entry.tries,
             });
         }
--- a/tests/catalogue/platform_bound.rs
+++ b/tests/catalogue/platform_bound.rs
@@ -108,7 +108,7 @@
 }
 
 #[test]
-fn list_of_strangers_is_survived() {
+fn list_of_unknown_instances_is_survived() {
     wrong_list_is_survived(25, |index, info| {
         info.instance = format!("stranger-{index}").into();
         info.control = ([127, 0, 0, 2], 9).into();
