--- a/tests/peer_outcomes.rs
+++ b/tests/peer_outcomes.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 use support::{
-    PROFILE, TestDaemon, TestPlatform, call_documents, free_address,
+    PROFILE, TestDaemon, TestPlatform, call, call_documents, free_address,
     raw_server::{Act, RawRequest, RawServer, ok},
     wait_until,
 };
@@ -345,3 +345,54 @@
     drop(slot);
     assert_eq!(daemon.upstreams.total_in_flight("documents"), 0);
 }
+
+/// Guards against a call of another cluster, or of a chain that calls itself, that reaches the
+/// backend server, and against context that is read in part.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_with_wrong_context_are_not_run() {
+    let backend = RawServer::counting().await;
+    let platform = TestPlatform::start(PROFILE).await;
+    let settings = TestDaemon::settings("b-1", platform.address, backend.address).await;
+    let daemon = TestDaemon::start(&platform, settings).await;
+    let trace = "00-000000000000000000000000000000ab-00000000000000cd-01";
+    let context = [
+        ("skylark-cluster", "test"),
+        ("skylark-caller", "gate"),
+        ("skylark-attempt", "00000000000000cd"),
+        ("skylark-priority", "3.7.0"),
+        ("skylark-deadline-us", "1500000"),
+        ("skylark-age-us", "0"),
+        ("skylark-allowance", "0"),
+        ("skylark-depth", "16"),
+        ("traceparent", trace),
+    ];
+    let mut summaries = Vec::new();
+    for (name, value) in [
+        ("skylark-cluster", "other"),
+        ("skylark-depth", "17"),
+        ("skylark-priority", "9.7.0"),
+        ("skylark-allowance", "-1"),
+    ] {
+        let changed = context.map(|field| {
+            if field.0 == name {
+                (name, value)
+            } else {
+                field
+            }
+        });
+        let seen = call(daemon.settings.peer, "/plain", &changed, "").await;
+        summaries.push(seen.summary());
+    }
+    assert_eq!(
+        summaries,
+        [
+            "400 not-run wrong-cluster",
+            "508 not-run too-deep",
+            "400 not-run bad-header",
+            "400 not-run bad-header",
+        ]
+    );
+    assert_eq!(backend.runs(), 0);
+    let seen = call(daemon.settings.peer, "/plain", &context, "").await;
+    assert_eq!(seen.summary(), "200 ran run 0");
+}
