--- a/src/standin/backend_server.rs
+++ b/src/standin/backend_server.rs
@@ -42,6 +42,26 @@
     pub calls: Vec<DownstreamCall>,
 }
 
+impl BackendBehaviour {
+    /// Creates the behaviour of a backend server that calls no other service.
+    pub fn new(slots: usize, service_time: Duration) -> Self {
+        Self {
+            slots,
+            service_time,
+            calls: Vec::new(),
+        }
+    }
+
+    /// Adds a call that is made for each request.
+    pub fn calling(mut self, service: &str, path: &str) -> Self {
+        self.calls.push(DownstreamCall {
+            service: service.into(),
+            path: path.into(),
+        });
+        self
+    }
+}
+
 #[derive(Debug)]
 struct BackendState {
     behaviour: BackendBehaviour,
--- a/src/subcommand/demo.rs
+++ b/src/subcommand/demo.rs
@@ -10,7 +10,7 @@
         work_log::WorkLog,
     },
     standin::{
-        backend_server::{BackendBehaviour, DownstreamCall},
+        backend_server::BackendBehaviour,
         service_chain::{ChainBuilder, ServiceChain},
     },
 };
@@ -150,15 +150,9 @@
 }
 
 fn behaviour(slots: usize, service_ms: u64, called: Option<&str>) -> BackendBehaviour {
-    BackendBehaviour {
-        slots,
-        service_time: Duration::from_millis(service_ms),
-        calls: called
-            .map(|service| DownstreamCall {
-                service: service.into(),
-                path: "/rosters/today".into(),
-            })
-            .into_iter()
-            .collect(),
+    let behaviour = BackendBehaviour::new(slots, Duration::from_millis(service_ms));
+    match called {
+        Some(service) => behaviour.calling(service, "/rosters/today"),
+        None => behaviour,
     }
 }
--- a/tests/request_metrics.rs
+++ b/tests/request_metrics.rs
@@ -5,10 +5,7 @@
 use http_body_util::BodyExt;
 use skylarkstream::{
     shell::http_client::HttpClient,
-    standin::{
-        backend_server::{BackendBehaviour, DownstreamCall},
-        service_chain::ServiceChain,
-    },
+    standin::{backend_server::BackendBehaviour, service_chain::ServiceChain},
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -43,18 +40,8 @@
 /// Guards against requests, attempts or added latency that are counted twice or not at all.
 #[tokio::test(flavor = "multi_thread")]
 async fn each_request_is_counted_once_at_each_hop() {
-    let leaf = BackendBehaviour {
-        slots: 4,
-        service_time: Duration::from_millis(1),
-        calls: Vec::new(),
-    };
-    let entry = BackendBehaviour {
-        calls: vec![DownstreamCall {
-            service: "gate-status".into(),
-            path: "/stands/4".into(),
-        }],
-        ..leaf.clone()
-    };
+    let leaf = BackendBehaviour::new(4, Duration::from_millis(1));
+    let entry = leaf.clone().calling("gate-status", "/stands/4");
     let chain = ServiceChain::builder()
         .profile("tug-dispatch", PROFILE)
         .service("tug-dispatch", "tug-dispatch", 1, entry)
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -4,10 +4,7 @@
 use http::Request;
 use skylarkstream::{
     shell::{header_names, http_client::HttpClient},
-    standin::{
-        backend_server::{BackendBehaviour, DownstreamCall},
-        service_chain::ServiceChain,
-    },
+    standin::{backend_server::BackendBehaviour, service_chain::ServiceChain},
 };
 use std::time::Duration;
 
@@ -20,18 +17,8 @@
 /// Guards against a break anywhere on the path from the caller to the second service.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_runs_on_both_services() {
-    let leaf = BackendBehaviour {
-        slots: 4,
-        service_time: Duration::from_millis(1),
-        calls: Vec::new(),
-    };
-    let entry = BackendBehaviour {
-        calls: vec![DownstreamCall {
-            service: "stand-status".into(),
-            path: "/stands/4".into(),
-        }],
-        ..leaf.clone()
-    };
+    let leaf = BackendBehaviour::new(4, Duration::from_millis(1));
+    let entry = leaf.clone().calling("stand-status", "/stands/4");
     let chain = ServiceChain::builder()
         .profile("dispatch", PROFILE)
         .service("tug-dispatch", "dispatch", 1, entry)
