--- a/src/controller/gate_controller.rs
+++ b/src/controller/gate_controller.rs
@@ -84,6 +84,12 @@
         state.gate.set_order(profile.shedding.within_class);
     }
 
+    /// Puts new bounds in force.
+    pub fn set_limits(&self, limits: AdmissionLimits) {
+        self.state.lock().gate.set_limits(limits);
+        self.tick();
+    }
+
     /// Returns the lowest priority that is admitted now.
     pub fn threshold(&self) -> RequestPriority {
         self.state.lock().gate.threshold()
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod lifecycle;
 pub mod membership;
+pub mod mesh;
 pub mod once;
 pub mod pause_detector;
 pub mod profile;
--- /dev/null
+++ b/src/decision/mesh/route_table.rs
@@ -0,0 +1,154 @@
+//! Routes by host and path prefix.
+
+use crate::common::*;
+use slotmap::{SlotMap, new_key_type};
+
+new_key_type! {
+    /// Key of a route in its table.
+    pub struct RouteKey;
+}
+
+/// Version of a route configuration. A daemon never goes back to a lower one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd)]
+pub struct RouteVersion(pub u64);
+
+/// How often a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunRule {
+    /// The request is idempotent.
+    Repeatable,
+    /// The request runs at most once for each attempt of the caller.
+    Once,
+}
+
+/// Service that gets a share of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WeightedTarget {
+    /// Name of the service.
+    pub service: SmolStr,
+    /// Share relative to the other targets of the route.
+    pub weight: u32,
+}
+
+/// One route of a configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteSpec {
+    /// Name of the route.
+    pub name: SmolStr,
+    /// Value of the `Host` header.
+    pub host: SmolStr,
+    /// Begin of the path; it starts and ends with a slash.
+    pub prefix: SmolStr,
+    /// How often a request may run.
+    pub rule: RunRule,
+    /// Longest time until the final answer.
+    pub timeout: Duration,
+    /// Time within which an answer has its full value.
+    pub latency_target: Duration,
+    /// Most upstreams that one attempt of a caller may reach.
+    pub max_attempts: u32,
+    /// Rank of the route; 0 is the most important.
+    pub priority: u8,
+    /// Services that run the requests.
+    pub targets: Vec<WeightedTarget>,
+}
+
+/// Bounds on what a caller may send and for how long it may stay idle.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Largest request head, in bytes.
+    pub header_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: u64,
+    /// Longest time for a request head.
+    pub header_timeout: Duration,
+    /// Longest time that a connection stays idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    /// Bounds for the time before the first configuration.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 1 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Routes in force, with an index by host.
+#[derive(Debug)]
+pub struct RouteTable {
+    version: RouteVersion,
+    limits: CallerLimits,
+    routes: SlotMap<RouteKey, RouteSpec>,
+    by_host: IndexMap<SmolStr, Vec<RouteKey>>,
+}
+
+impl RouteTable {
+    /// Creates a table.
+    pub fn new(version: RouteVersion, limits: CallerLimits, specs: Vec<RouteSpec>) -> Self {
+        let mut routes = SlotMap::with_key();
+        let mut by_host = IndexMap::<SmolStr, Vec<RouteKey>>::new();
+        for spec in specs {
+            let host = spec.host.to_ascii_lowercase_smolstr();
+            let key = routes.insert(spec);
+            by_host.entry(host).or_default().push(key);
+        }
+        for keys in by_host.values_mut() {
+            keys.sort_by_key(|key| std::cmp::Reverse(routes[*key].prefix.len()));
+        }
+        Self {
+            version,
+            limits,
+            routes,
+            by_host,
+        }
+    }
+
+    /// Returns the version of the configuration.
+    pub fn version(&self) -> RouteVersion {
+        self.version
+    }
+
+    /// Returns the bounds on callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Returns whether the table has no routes.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+
+    /// Finds the route of the host with the longest prefix that begins the path. A port in the host
+    /// and a query behind the path do not count.
+    pub fn find(&self, host: &str, target: &str) -> Option<&RouteSpec> {
+        let name = host.split(':').next().unwrap_or_default();
+        let path = target.split(['?', '#']).next().unwrap_or_default();
+        let keys = match self.by_host.get(name) {
+            Some(keys) => keys,
+            None => self.by_host.get(name.to_ascii_lowercase().as_str())?,
+        };
+        keys.iter()
+            .map(|key| &self.routes[*key])
+            .find(|route| path.starts_with(route.prefix.as_str()))
+    }
+}
+
+trait AsciiLowercase {
+    fn to_ascii_lowercase_smolstr(&self) -> SmolStr;
+}
+
+impl AsciiLowercase for SmolStr {
+    fn to_ascii_lowercase_smolstr(&self) -> SmolStr {
+        self.to_ascii_lowercase().into()
+    }
+}
--- /dev/null
+++ b/src/http1/client_connection.rs
@@ -0,0 +1,192 @@
+//! Connection to a server that answers one request at a time.
+
+use super::{
+    body_decoder::{BodyDecoder, BodyLength},
+    message_head::{MessageError, ResponseHead},
+};
+use crate::common::*;
+use bytes::{Bytes, BytesMut};
+use std::io;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// Largest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Bytes that are read at a time.
+const READ_BYTES: usize = 8 << 10;
+
+/// A response could not be read.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// The connection broke.
+    #[error("The connection broke: {0}.")]
+    Connection(#[from] io::Error),
+    /// The server closed the connection before the response was complete.
+    #[error("The server closed the connection before the response was complete.")]
+    Closed,
+    /// The server sent bytes that are no valid response.
+    #[error(transparent)]
+    Message(#[from] MessageError),
+}
+
+/// Complete response.
+#[derive(Debug)]
+pub struct ServerResponse {
+    /// Head of the response.
+    pub head: ResponseHead,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether the connection can carry another request.
+    pub is_reusable: bool,
+}
+
+/// Connection to a server that answers one request at a time.
+#[derive(Debug)]
+pub struct ClientConnection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    foreign: bool,
+}
+
+impl ClientConnection {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream,
+            buffer: BytesMut::new(),
+            foreign: false,
+        })
+    }
+
+    /// Returns whether an idle connection is still open and the server has sent nothing on it.
+    pub fn is_idle(&self) -> bool {
+        if !self.buffer.is_empty() {
+            return false;
+        }
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads its response. Responses for which `is_own` is false belong to other
+    /// requests and are skipped. The response can arrive before the request is written.
+    pub async fn exchange(
+        &mut self,
+        request: &[u8],
+        is_head: bool,
+        max_body: u64,
+        is_own: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<ServerResponse, ExchangeError> {
+        let Self {
+            stream,
+            buffer,
+            foreign,
+        } = self;
+        let (mut reader, mut writer) = stream.split();
+        let writing = async { writer.write_all(request).await };
+        let mut incoming = IncomingResponse {
+            reader: &mut reader,
+            buffer,
+            foreign,
+        };
+        let reading = incoming.read(is_head, max_body, is_own);
+        tokio::pin!(writing, reading);
+        tokio::select! {
+            biased;
+            written = &mut writing => {
+                // A server that rejects a request early can close its side; its answer counts.
+                let response = reading.await;
+                match (written, response) {
+                    (_, Ok(response)) => Ok(response),
+                    (Err(error), Err(_)) => Err(error.into()),
+                    (Ok(()), Err(error)) => Err(error),
+                }
+            }
+            response = &mut reading => {
+                // The rest of the request is still due on this connection.
+                response.map(|response| ServerResponse { is_reusable: false, ..response })
+            }
+        }
+    }
+}
+
+struct IncomingResponse<'a, R> {
+    reader: &'a mut R,
+    buffer: &'a mut BytesMut,
+    foreign: &'a mut bool,
+}
+
+impl<R: AsyncReadExt + Unpin> IncomingResponse<'_, R> {
+    async fn read(
+        &mut self,
+        is_head: bool,
+        max_body: u64,
+        is_own: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<ServerResponse, ExchangeError> {
+        loop {
+            let head = self.read_head().await?;
+            if matches!(head.status, 100..=199) {
+                continue;
+            }
+            let length = head.body_length(is_head)?;
+            let body = self.read_body(length, max_body).await?;
+            if !is_own(&head) {
+                if length == BodyLength::UntilClose {
+                    return Err(ExchangeError::Closed);
+                }
+                *self.foreign = true;
+                continue;
+            }
+            let is_reusable = head.keeps_connection()
+                && length != BodyLength::UntilClose
+                && self.buffer.is_empty()
+                && !*self.foreign;
+            return Ok(ServerResponse {
+                head,
+                body,
+                is_reusable,
+            });
+        }
+    }
+
+    async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        loop {
+            if !self.buffer.is_empty()
+                && let Some(head) = ResponseHead::take(self.buffer, MAX_HEAD_BYTES)?
+            {
+                return Ok(head);
+            }
+            if self.fill().await? == 0 {
+                return Err(ExchangeError::Closed);
+            }
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        length: BodyLength,
+        max_body: u64,
+    ) -> Result<Bytes, ExchangeError> {
+        let mut decoder = BodyDecoder::new(length);
+        let mut body = BytesMut::new();
+        while !decoder.decode(self.buffer, &mut body, max_body)? {
+            if self.fill().await? == 0 {
+                if decoder.ends_with_connection() {
+                    break;
+                }
+                return Err(ExchangeError::Closed);
+            }
+        }
+        Ok(body.freeze())
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        self.buffer.reserve(READ_BYTES);
+        self.reader.read_buf(self.buffer).await
+    }
+}
--- /dev/null
+++ b/src/http1/message_head.rs
@@ -0,0 +1,215 @@
+//! Heads of requests and responses.
+
+use super::{body_decoder::BodyLength, header_list::HeaderList};
+use crate::common::*;
+use bytes::{Bytes, BytesMut};
+
+/// Most header fields of a message.
+const MAX_FIELDS: usize = 128;
+
+/// A message violates the protocol.
+#[derive(Clone, Copy, Debug, Error, Eq, PartialEq)]
+pub enum MessageError {
+    /// The head cannot be parsed.
+    #[error("The head of the message cannot be parsed.")]
+    Head,
+    /// The head is larger than allowed.
+    #[error("The head of the message is too large.")]
+    HeadSize,
+    /// The length of the body is given twice or cannot be read.
+    #[error("The length of the body is ambiguous.")]
+    Length,
+    /// The body is larger than allowed.
+    #[error("The body is too large.")]
+    BodySize,
+    /// A chunk of the body cannot be parsed.
+    #[error("The body has a chunk that cannot be parsed.")]
+    Chunk,
+}
+
+/// Head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// Method.
+    pub method: SmolStr,
+    /// Request target as sent.
+    pub target: SmolStr,
+    /// Whether the sender speaks HTTP/1.1.
+    pub is_http11: bool,
+    /// Header fields.
+    pub headers: HeaderList,
+}
+
+/// Head of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Whether the sender speaks HTTP/1.1.
+    pub is_http11: bool,
+    /// Header fields.
+    pub headers: HeaderList,
+}
+
+impl RequestHead {
+    /// Takes a complete request head off the buffer; returns `None` while it is incomplete.
+    pub fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, MessageError> {
+        skip_empty_lines(buffer);
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut request = httparse::Request::new(&mut fields);
+        let parsed = request.parse(buffer).map_err(|_| MessageError::Head)?;
+        let httparse::Status::Complete(length) = parsed else {
+            return incomplete(buffer, max_bytes);
+        };
+        if length > max_bytes {
+            return Err(MessageError::HeadSize);
+        }
+        let (Some(method), Some(target)) = (request.method, request.path) else {
+            return Err(MessageError::Head);
+        };
+        let (method, target) = (SmolStr::new(method), SmolStr::new(target));
+        let is_http11 = request.version == Some(1);
+        let ranges = field_ranges(buffer, request.headers);
+        let headers = take_fields(buffer, length, &ranges);
+        Ok(Some(Self {
+            method,
+            target,
+            is_http11,
+            headers,
+        }))
+    }
+
+    /// Returns how the body is framed.
+    pub fn body_length(&self) -> Result<BodyLength, MessageError> {
+        if is_chunked(&self.headers)? {
+            return Ok(BodyLength::Chunked);
+        }
+        let length = content_length(&self.headers)?;
+        Ok(BodyLength::Fixed(length.unwrap_or(0)))
+    }
+
+    /// Returns whether the sender wants to keep the connection.
+    pub fn keeps_connection(&self) -> bool {
+        keeps_connection(self.is_http11, &self.headers)
+    }
+}
+
+impl ResponseHead {
+    /// Takes a complete response head off the buffer; returns `None` while it is incomplete.
+    pub fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, MessageError> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut response = httparse::Response::new(&mut fields);
+        let parsed = response.parse(buffer).map_err(|_| MessageError::Head)?;
+        let httparse::Status::Complete(length) = parsed else {
+            return incomplete(buffer, max_bytes);
+        };
+        if length > max_bytes {
+            return Err(MessageError::HeadSize);
+        }
+        let status = response.code.ok_or(MessageError::Head)?;
+        let is_http11 = response.version == Some(1);
+        let ranges = field_ranges(buffer, response.headers);
+        let headers = take_fields(buffer, length, &ranges);
+        Ok(Some(Self {
+            status,
+            is_http11,
+            headers,
+        }))
+    }
+
+    /// Returns how the body is framed; `is_head` tells that the request had the method `HEAD`.
+    pub fn body_length(&self, is_head: bool) -> Result<BodyLength, MessageError> {
+        if is_head || matches!(self.status, 100..=199 | 204 | 304) {
+            return Ok(BodyLength::Fixed(0));
+        }
+        if is_chunked(&self.headers)? {
+            return Ok(BodyLength::Chunked);
+        }
+        let length = content_length(&self.headers)?;
+        Ok(length.map_or(BodyLength::UntilClose, BodyLength::Fixed))
+    }
+
+    /// Returns whether the sender keeps the connection.
+    pub fn keeps_connection(&self) -> bool {
+        keeps_connection(self.is_http11, &self.headers)
+    }
+}
+
+type FieldRange = (usize, usize, usize, usize);
+
+fn field_ranges(buffer: &[u8], fields: &[httparse::Header]) -> Vec<FieldRange> {
+    let base = buffer.as_ptr() as usize;
+    let offset = |bytes: &[u8]| bytes.as_ptr() as usize - base;
+    fields
+        .iter()
+        .map(|field| {
+            let (name, value) = (field.name.as_bytes(), field.value);
+            // The library points empty values outside of the buffer.
+            let start = if value.is_empty() { 0 } else { offset(value) };
+            (offset(name), name.len(), start, value.len())
+        })
+        .collect()
+}
+
+fn take_fields(buffer: &mut BytesMut, length: usize, ranges: &[FieldRange]) -> HeaderList {
+    let head: Bytes = buffer.split_to(length).freeze();
+    let fields = ranges
+        .iter()
+        .map(|(name, name_length, value, value_length)| {
+            (
+                head.slice(*name..*name + *name_length),
+                head.slice(*value..*value + *value_length),
+            )
+        })
+        .collect();
+    HeaderList::new(fields)
+}
+
+fn incomplete<T>(buffer: &BytesMut, max_bytes: usize) -> Result<Option<T>, MessageError> {
+    if buffer.len() > max_bytes {
+        return Err(MessageError::HeadSize);
+    }
+    Ok(None)
+}
+
+fn skip_empty_lines(buffer: &mut BytesMut) {
+    let empty = buffer
+        .iter()
+        .take_while(|byte| matches!(byte, b'\r' | b'\n'))
+        .count();
+    let _ = buffer.split_to(empty);
+}
+
+fn is_chunked(headers: &HeaderList) -> Result<bool, MessageError> {
+    let mut encodings = headers.all("Transfer-Encoding");
+    let Some(encoding) = encodings.next() else {
+        return Ok(false);
+    };
+    let is_plain = encoding.trim_ascii().eq_ignore_ascii_case(b"chunked");
+    let is_only = encodings.next().is_none() && headers.get("Content-Length").is_none();
+    if is_plain && is_only {
+        Ok(true)
+    } else {
+        Err(MessageError::Length)
+    }
+}
+
+fn content_length(headers: &HeaderList) -> Result<Option<u64>, MessageError> {
+    let mut lengths = headers.all("Content-Length");
+    let Some(length) = lengths.next() else {
+        return Ok(None);
+    };
+    let is_number = !length.is_empty() && length.iter().all(u8::is_ascii_digit);
+    if lengths.next().is_some() || !is_number {
+        return Err(MessageError::Length);
+    }
+    let text = std::str::from_utf8(length).map_err(|_| MessageError::Length)?;
+    text.parse().map(Some).map_err(|_| MessageError::Length)
+}
+
+fn keeps_connection(is_http11: bool, headers: &HeaderList) -> bool {
+    if headers.has_word("Connection", "close") {
+        return false;
+    }
+    is_http11 || headers.has_word("Connection", "keep-alive")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,16 @@
 //!
 //! One daemon runs beside each backend server instance. [`decision`] holds the decisions as plain
 //! code without I/O, [`filter`] the request filter chain, [`controller`] the state controllers and
-//! [`shell`] the sockets, metrics, traces and signals.
+//! [`shell`] the sockets, metrics, traces and signals. [`mesh`] is the daemon of a fleet whose routes
+//! come from a store, and [`platform`] translates the users' platform for it.
 
 pub mod controller;
 pub mod decision;
 pub mod experiment;
 pub mod filter;
+pub mod http1;
+pub mod mesh;
+pub mod platform;
 pub mod settings;
 pub mod shell;
 pub mod standin;
--- /dev/null
+++ b/src/mesh/entry.rs
@@ -0,0 +1,382 @@
+//! Way of a request from its caller to an instance and back.
+
+use crate::{
+    common::*,
+    decision::mesh::{
+        instance_choice::{AttemptEnd, ChosenInstance, InstanceKey},
+        route_table::{RouteSpec, RunRule},
+    },
+    http1::message_head::RequestHead,
+    mesh::{
+        entry_answer::{CallerRequest, EntryAnswer, OwnAnswer},
+        fleet_state::FleetState,
+        peer_frame::{CallFrame, NotRunReason, ReplyFrame, RunAnswer, RunEnd, UnknownReason},
+        peer_link::CallEnd,
+        peer_links::PeerLinks,
+    },
+};
+use bytes::{BufMut, Bytes, BytesMut};
+use tokio::time::timeout_at;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time before the end of the caller's patience at which it gets its answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+
+/// Most instances that are asked for room for one request.
+const MAX_REFUSALS: usize = 4;
+
+/// Shortest time after which a refused caller may come back, in seconds.
+const MIN_RETRY_AFTER_S: f64 = 0.2;
+
+/// Spread of the times after which refused callers come back, in seconds.
+const RETRY_AFTER_SPREAD_S: f64 = 0.4;
+
+/// Most class levels below that of nested calls.
+const MAX_PRIORITY: u8 = 5;
+
+/// Takes requests of callers to the instances.
+pub struct RequestEntry {
+    state: Arc<FleetState>,
+    links: Arc<PeerLinks>,
+}
+
+/// Request with what was decided at its entry.
+struct EnteredRequest<'a> {
+    route: &'a RouteSpec,
+    service: SmolStr,
+    method: SmolStr,
+    attempt: Bytes,
+    head: Bytes,
+    body: Bytes,
+    limit: Instant,
+}
+
+/// State of the attempts at one request.
+#[derive(Default)]
+struct AttemptHistory {
+    tried: Vec<InstanceKey>,
+    /// Instances whose backend server may have seen the request.
+    reached: u32,
+    refusals: usize,
+    may_have_run: bool,
+    failure: Option<RunAnswer>,
+}
+
+impl RequestEntry {
+    /// Creates the entry.
+    pub fn new(state: Arc<FleetState>, links: Arc<PeerLinks>) -> Self {
+        Self { state, links }
+    }
+
+    /// Returns the state of the daemon.
+    pub fn state(&self) -> &Arc<FleetState> {
+        &self.state
+    }
+
+    /// Creates an answer of the daemon itself.
+    pub fn own_answer(&self, reason: OwnAnswer, attempt: &[u8]) -> EntryAnswer {
+        let retry_after = (reason.status() == 503).then(|| {
+            let spread = RETRY_AFTER_SPREAD_S * rand::random::<f64>();
+            Duration::from_secs_f64(MIN_RETRY_AFTER_S + spread)
+        });
+        EntryAnswer::own(reason, retry_after, attempt, &self.state.headers)
+    }
+
+    /// Answers a request.
+    pub async fn serve(&self, request: CallerRequest) -> EntryAnswer {
+        let attempt = request.head.headers.get(self.state.headers.attempt);
+        let attempt = Bytes::copy_from_slice(attempt.unwrap_or_default());
+        match self.answer(&request, &attempt).await {
+            Ok(answer) => EntryAnswer::passed_on(answer),
+            Err(reason) => {
+                log::info!(
+                    "entry: {} {} for {} ends with {}, {:?} after it arrived.",
+                    request.head.method,
+                    request.head.target,
+                    attempt.escape_ascii(),
+                    reason.name(),
+                    self.state.clock.now() - request.received,
+                );
+                self.own_answer(reason, &attempt)
+            }
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: &CallerRequest,
+        attempt: &Bytes,
+    ) -> Result<RunAnswer, OwnAnswer> {
+        let routes = self.state.routes().ok_or(OwnAnswer::NoConfig)?;
+        let host = request.head.headers.text("Host").unwrap_or_default();
+        let route = routes
+            .find(host, &request.head.target)
+            .ok_or(OwnAnswer::NoRoute)?;
+        let service = self.state.spread.lock().choose(route);
+        let service = service.ok_or(OwnAnswer::NoInstance)?;
+        let patience = self.patience(&request.head, route);
+        let entered = EnteredRequest {
+            head: self.forwarded_head(&request.head),
+            method: request.head.method.clone(),
+            attempt: attempt.clone(),
+            body: request.body.clone(),
+            limit: request.received + patience,
+            service,
+            route,
+        };
+        self.attempt_until_answered(&entered).await
+    }
+
+    async fn attempt_until_answered(
+        &self,
+        request: &EnteredRequest<'_>,
+    ) -> Result<RunAnswer, OwnAnswer> {
+        let state = &self.state;
+        state
+            .budget
+            .lock()
+            .on_request(&request.service, state.clock.now());
+        let mut history = AttemptHistory::default();
+        loop {
+            let now = state.clock.now();
+            if now >= request.limit {
+                return history.end(OwnAnswer::Expired);
+            }
+            let (service, route) = (&request.service, &request.route.name);
+            let chosen = state
+                .choice
+                .lock()
+                .choose(service, route, &history.tried, now);
+            let Some(instance) = chosen else {
+                return history.end(if history.refusals > 0 {
+                    OwnAnswer::Busy
+                } else {
+                    OwnAnswer::NoInstance
+                });
+            };
+            if history.reached > 0 {
+                let members = state.members();
+                let is_granted = state.budget.lock().take_repeat(service, members, now);
+                if !is_granted {
+                    let mut choice = state.choice.lock();
+                    choice.finish(instance.key, AttemptEnd::Abandoned, now);
+                    return history.end(OwnAnswer::Budget);
+                }
+            }
+            history.tried.push(instance.key);
+            match self.attempt(request, &instance).await {
+                Some(end) => {
+                    if let Some(answer) = history.record(end, request) {
+                        return answer;
+                    }
+                }
+                None => {
+                    history.may_have_run = true;
+                    return history.end(OwnAnswer::Timeout);
+                }
+            }
+        }
+    }
+
+    /// Makes one attempt; returns `None` if no end is known in time.
+    async fn attempt(
+        &self,
+        request: &EnteredRequest<'_>,
+        instance: &ChosenInstance,
+    ) -> Option<CallEnd> {
+        let mut guard = AttemptGuard {
+            state: &self.state,
+            key: instance.key,
+            end: AttemptEnd::Abandoned,
+        };
+        let frame = self.call_frame(request, instance);
+        let calling = async {
+            if instance.address.ip() == self.state.settings.peer.ip() {
+                let reply = self.state.executor.reply(&frame, request.limit).await;
+                return CallEnd::Reply(Arc::new(reply));
+            }
+            let port = self.state.settings.peer.port();
+            let address = SocketAddr::new(instance.address.ip(), port);
+            match self.links.link(address) {
+                Some(link) => link.call(frame).end().await,
+                None => CallEnd::NotSent,
+            }
+        };
+        let end = timeout_at(request.limit.into(), calling).await.ok();
+        guard.end = match &end {
+            Some(CallEnd::Reply(reply)) => {
+                self.record_load(request, instance, reply);
+                attempt_end(&reply.end)
+            }
+            Some(CallEnd::NotSent | CallEnd::Lost) => AttemptEnd::Failed,
+            None => AttemptEnd::Abandoned,
+        };
+        end
+    }
+
+    fn record_load(
+        &self,
+        request: &EnteredRequest<'_>,
+        instance: &ChosenInstance,
+        reply: &ReplyFrame,
+    ) {
+        let time = reply.service_time_us.map(Duration::from_micros);
+        let time = time.map(|time| (&request.route.name, time));
+        let now = self.state.clock.now();
+        let mut choice = self.state.choice.lock();
+        choice.set_report(instance.key, reply.load, time, now);
+    }
+
+    fn call_frame(&self, request: &EnteredRequest<'_>, instance: &ChosenInstance) -> CallFrame {
+        let left = request
+            .limit
+            .saturating_duration_since(self.state.clock.now());
+        CallFrame {
+            number: self.state.next_number(),
+            service: request.service.clone(),
+            instance: instance.id.clone(),
+            origin: self.state.settings.service.clone(),
+            route: request.route.name.clone(),
+            class: 1 + request.route.priority.min(MAX_PRIORITY),
+            rank: (xxh3_64(&request.attempt) >> 48) as u16,
+            is_repeat: false,
+            is_once: request.route.rule == RunRule::Once,
+            budget_ms: left.as_millis() as u32,
+            sent_us: self.state.uptime_us(),
+            method: request.method.clone(),
+            attempt: request.attempt.clone(),
+            head: request.head.clone(),
+            body: request.body.clone(),
+        }
+    }
+
+    /// Returns how long the caller waits for the final answer.
+    fn patience(&self, head: &RequestHead, route: &RouteSpec) -> Duration {
+        let stated = head.headers.text(self.state.headers.deadline_ms);
+        let stated = stated.and_then(|text| text.parse().ok());
+        let deadline = stated.map_or(route.timeout, |ms| {
+            Duration::from_millis(ms).saturating_sub(ANSWER_MARGIN)
+        });
+        deadline.min(route.timeout)
+    }
+
+    /// Returns the request line and the header fields that the backend server gets.
+    fn forwarded_head(&self, head: &RequestHead) -> Bytes {
+        let headers = &self.state.headers;
+        let replaced = [
+            headers.deadline_ms,
+            headers.expected_instance,
+            headers.caller_service,
+            "Expect",
+        ];
+        let is_dropped = |name: &[u8]| {
+            replaced
+                .iter()
+                .any(|field| name.eq_ignore_ascii_case(field.as_bytes()))
+        };
+        let mut lines = BytesMut::with_capacity(512);
+        lines.put_slice(head.method.as_bytes());
+        lines.put_u8(b' ');
+        lines.put_slice(head.target.as_bytes());
+        lines.put_slice(b" HTTP/1.1\r\n");
+        for (name, value) in head.headers.end_to_end(is_dropped) {
+            lines.put_slice(name);
+            lines.put_slice(b": ");
+            lines.put_slice(value);
+            lines.put_slice(b"\r\n");
+        }
+        lines.put_slice(headers.caller_service.as_bytes());
+        lines.put_slice(b": ");
+        lines.put_slice(self.state.settings.service.as_bytes());
+        lines.put_slice(b"\r\n");
+        lines.freeze()
+    }
+}
+
+impl AttemptHistory {
+    /// Records the end of an attempt; returns the final answer if there is one.
+    fn record(
+        &mut self,
+        end: CallEnd,
+        request: &EnteredRequest<'_>,
+    ) -> Option<Result<RunAnswer, OwnAnswer>> {
+        let is_repeatable = request.route.rule == RunRule::Repeatable;
+        match end {
+            CallEnd::NotSent => self.refusals += 1,
+            CallEnd::Lost => {
+                self.reached += 1;
+                self.may_have_run = true;
+            }
+            CallEnd::Reply(reply) => match reply.end.clone() {
+                RunEnd::Answered(answer) => {
+                    if answer.status < 500 || !is_repeatable {
+                        return Some(Ok(answer));
+                    }
+                    self.reached += 1;
+                    self.may_have_run = true;
+                    self.failure = Some(answer);
+                }
+                RunEnd::NotRun(reason) => match reason {
+                    NotRunReason::Refused => self.reached += 1,
+                    NotRunReason::Expired => return Some(self.end(OwnAnswer::Expired)),
+                    _ => self.refusals += 1,
+                },
+                RunEnd::Unknown(reason) => {
+                    self.reached += 1;
+                    self.may_have_run = true;
+                    if reason == UnknownReason::Timeout {
+                        return Some(self.end(OwnAnswer::Timeout));
+                    }
+                }
+            },
+        }
+        if self.may_have_run && !is_repeatable {
+            return Some(self.end(OwnAnswer::Lost));
+        }
+        if self.reached >= request.route.max_attempts {
+            return Some(self.end(OwnAnswer::Budget));
+        }
+        if self.refusals >= MAX_REFUSALS {
+            return Some(self.end(OwnAnswer::Busy));
+        }
+        None
+    }
+
+    /// Returns the final answer when no further attempt is made.
+    fn end(&mut self, reason: OwnAnswer) -> Result<RunAnswer, OwnAnswer> {
+        if let Some(answer) = self.failure.take() {
+            return Ok(answer);
+        }
+        Err(match reason {
+            OwnAnswer::Timeout => OwnAnswer::Timeout,
+            _ if self.may_have_run => OwnAnswer::Lost,
+            reason => reason,
+        })
+    }
+}
+
+/// Reports the end of an attempt, also when the caller leaves.
+struct AttemptGuard<'a> {
+    state: &'a FleetState,
+    key: InstanceKey,
+    end: AttemptEnd,
+}
+
+impl Drop for AttemptGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.state.clock.now();
+        self.state.choice.lock().finish(self.key, self.end, now);
+    }
+}
+
+fn attempt_end(end: &RunEnd) -> AttemptEnd {
+    match end {
+        RunEnd::Answered(answer) if answer.status < 500 => AttemptEnd::Answered,
+        RunEnd::Answered(_) | RunEnd::Unknown(_) => AttemptEnd::Failed,
+        RunEnd::NotRun(reason) => match reason {
+            NotRunReason::Busy | NotRunReason::Expired => AttemptEnd::Busy,
+            NotRunReason::Leaving | NotRunReason::OtherInstance => AttemptEnd::Leaving,
+            NotRunReason::Refused | NotRunReason::Unreachable => AttemptEnd::Failed,
+        },
+    }
+}
--- /dev/null
+++ b/src/mesh/executor.rs
@@ -0,0 +1,278 @@
+//! Runs requests at the own backend server.
+
+use crate::{
+    common::*,
+    controller::gate_controller::{GateController, GatePermit},
+    decision::{
+        admission::admission_gate::{GateRequest, ShedReason, WorkResult},
+        clock::Clock,
+        mesh::{instance_choice::LoadReport, latency_book::LatencyBook},
+        profile::service_profile::AdmissionLimits,
+        request_priority::RequestPriority,
+    },
+    http1::{
+        client_connection::{ClientConnection, ExchangeError, ServerResponse},
+        message_head::ResponseHead,
+    },
+    mesh::{
+        backend_pool::BackendPool,
+        context_headers::ContextHeaders,
+        peer_frame::{CallFrame, NotRunReason, ReplyFrame, RunAnswer, RunEnd, UnknownReason},
+    },
+};
+use bytes::{BufMut, BytesMut};
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::time::timeout_at;
+
+/// Largest body of an answer, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
+/// Time that a backend server gets beyond the deadline to say itself that it is over.
+const ANSWER_GRACE: Duration = Duration::from_millis(20);
+
+/// Slots of a backend server whose entry is not known yet.
+const UNKNOWN_SLOTS: u32 = 16;
+
+/// Share of the slots that is used at most: some backend servers slow down when they are nearly
+/// full, and a new connection may hold a slot.
+const USED_SLOTS: f64 = 0.94;
+
+/// Most requests that wait at the gate, as a multiple of the slots.
+const QUEUE_FACTOR: u32 = 2;
+
+/// Longest wait for a slot, in milliseconds.
+const QUEUE_WAIT_MS: u32 = 400;
+
+/// Runs requests at the own backend server, as many at a time as it has slots.
+pub struct Executor {
+    service: SmolStr,
+    headers: ContextHeaders,
+    clock: Arc<dyn Clock>,
+    gate: Arc<GateController>,
+    pool: BackendPool,
+    times: Mutex<LatencyBook>,
+    is_leaving: AtomicBool,
+}
+
+impl Executor {
+    /// Creates an executor for the backend server of `service` at `backend`.
+    pub fn new(
+        service: SmolStr,
+        backend: SocketAddr,
+        headers: ContextHeaders,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            service,
+            headers,
+            gate: Arc::new(GateController::new(
+                gate_limits(UNKNOWN_SLOTS),
+                Arc::clone(&clock),
+            )),
+            clock,
+            pool: BackendPool::new(backend),
+            times: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Sets the number of requests that the backend server processes at once.
+    pub fn set_slots(&self, slots: u32) {
+        self.gate.set_limits(gate_limits(slots));
+    }
+
+    /// Refuses new runs from now on.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Applies decisions of the gate that depend on the time alone; returns whether requests wait.
+    pub fn tick(&self) -> bool {
+        self.gate.tick();
+        self.gate.load().queued > 0
+    }
+
+    /// Returns the load of the backend server.
+    pub fn load(&self) -> LoadReport {
+        let load = self.gate.load();
+        LoadReport {
+            in_flight: load.in_flight,
+            queued: load.queued as u32,
+            limit: load.limit,
+        }
+    }
+
+    /// Runs a request and describes its end. `deadline` is the end of the caller's patience.
+    pub async fn reply(&self, call: &CallFrame, deadline: Instant) -> ReplyFrame {
+        let end = self.run(call, deadline).await;
+        let mean = self.times.lock().mean(&call.route);
+        ReplyFrame {
+            number: call.number,
+            end,
+            load: self.load(),
+            service_time_us: mean.map(|mean| mean.as_micros() as u64),
+        }
+    }
+
+    async fn run(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
+        if call.service != self.service {
+            return RunEnd::NotRun(NotRunReason::OtherInstance);
+        }
+        if self.is_leaving.load(Ordering::Relaxed) {
+            return RunEnd::NotRun(NotRunReason::Leaving);
+        }
+        let permit = match self.admit(call, deadline).await {
+            Ok(permit) => permit,
+            Err(ShedReason::Deadline) => return RunEnd::NotRun(NotRunReason::Expired),
+            Err(_) => return RunEnd::NotRun(NotRunReason::Busy),
+        };
+        let connection = match self.pool.take(call.is_once, self.clock.now()).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::info!(
+                    "executor: Cannot reach the backend server for {}: {error}.",
+                    call.attempt.escape_ascii()
+                );
+                return RunEnd::NotRun(NotRunReason::Unreachable);
+            }
+        };
+        let started = self.clock.now();
+        if started >= deadline {
+            return RunEnd::NotRun(NotRunReason::Expired);
+        }
+        let limit = deadline + ANSWER_GRACE;
+        let exchange = self.exchange(connection, call, deadline - started);
+        let Ok(result) = timeout_at(limit.into(), exchange).await else {
+            return RunEnd::Unknown(UnknownReason::Timeout);
+        };
+        let now = self.clock.now();
+        let end = match result {
+            Ok(response) => self.judge(call, response),
+            Err(error) => {
+                log::info!(
+                    "executor: No answer to {}: {error}",
+                    call.attempt.escape_ascii()
+                );
+                let reason = match error {
+                    ExchangeError::Message(_) => UnknownReason::Invalid,
+                    ExchangeError::Connection(_) | ExchangeError::Closed => UnknownReason::Broken,
+                };
+                RunEnd::Unknown(reason)
+            }
+        };
+        let result = match &end {
+            RunEnd::Answered(_) => {
+                self.times.lock().record(&call.route, now - started);
+                WorkResult::Completed
+            }
+            RunEnd::NotRun(_) => WorkResult::Refused,
+            RunEnd::Unknown(_) => WorkResult::Aborted,
+        };
+        permit.finish(result);
+        end
+    }
+
+    async fn admit(&self, call: &CallFrame, deadline: Instant) -> Result<GatePermit, ShedReason> {
+        let request = GateRequest {
+            priority: RequestPriority {
+                class: call.class,
+                retry: call.is_repeat,
+                rank: call.rank,
+            },
+            deadline,
+            entered: self.clock.now(),
+            is_entry: call.class > 0,
+            caller_service: call.origin.clone(),
+        };
+        self.gate.admit(request).await
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: ClientConnection,
+        call: &CallFrame,
+        left: Duration,
+    ) -> Result<ServerResponse, ExchangeError> {
+        let request = self.request_bytes(call, left);
+        let attempt = self.headers.attempt;
+        // An answer without an identifier can only be one that tells that nothing was run.
+        let is_own = |head: &ResponseHead| {
+            let answered = head.headers.get(attempt);
+            answered.is_none_or(|answered| answered == call.attempt)
+        };
+        let response = connection
+            .exchange(&request, call.method == "HEAD", MAX_ANSWER_BYTES, is_own)
+            .await?;
+        if response.is_reusable {
+            self.pool.put(connection, &response.head, self.clock.now());
+        }
+        Ok(response)
+    }
+
+    fn request_bytes(&self, call: &CallFrame, left: Duration) -> BytesMut {
+        let mut request = BytesMut::with_capacity(call.head.len() + call.body.len() + 128);
+        request.extend_from_slice(&call.head);
+        let deadline_ms = left.as_millis();
+        let lines = format!(
+            "{}: {deadline_ms}\r\n{}: {}\r\n",
+            self.headers.deadline_ms, self.headers.expected_instance, call.instance
+        );
+        request.extend_from_slice(lines.as_bytes());
+        let has_body = !call.body.is_empty() || matches!(call.method.as_str(), "POST" | "PUT");
+        if has_body {
+            request
+                .extend_from_slice(format!("Content-Length: {}\r\n", call.body.len()).as_bytes());
+        }
+        request.extend_from_slice(b"\r\n");
+        request.extend_from_slice(&call.body);
+        request
+    }
+
+    /// Decides what an answer of the backend server says about the run.
+    fn judge(&self, call: &CallFrame, response: ServerResponse) -> RunEnd {
+        let ServerResponse { head, body, .. } = response;
+        let headers = &head.headers;
+        if head.status == 421 {
+            return RunEnd::NotRun(NotRunReason::OtherInstance);
+        }
+        if headers.get(self.headers.not_executed).is_some() {
+            return RunEnd::NotRun(NotRunReason::Refused);
+        }
+        let is_signed = headers.get(self.headers.signature).is_some();
+        let is_own = headers.get(self.headers.attempt) == Some(call.attempt.as_ref());
+        // Callers ask for no encoding, so an encoded body is not the one that the server made.
+        let is_encoded = headers.get("Content-Encoding").is_some();
+        if !is_own || is_encoded || (!is_signed && head.status < 300) {
+            log::info!(
+                "executor: The answer to {} is not valid: status {}, signed {is_signed}, own \
+                 {is_own}, encoded {is_encoded}.",
+                call.attempt.escape_ascii(),
+                head.status
+            );
+            return RunEnd::Unknown(UnknownReason::Invalid);
+        }
+        let mut lines = BytesMut::new();
+        for (name, value) in headers.end_to_end(|_| false) {
+            lines.put_slice(name);
+            lines.put_slice(b": ");
+            lines.put_slice(value);
+            lines.put_slice(b"\r\n");
+        }
+        RunEnd::Answered(RunAnswer {
+            status: head.status,
+            head: lines.freeze(),
+            body,
+        })
+    }
+}
+
+fn gate_limits(slots: u32) -> AdmissionLimits {
+    let concurrency = ((f64::from(slots) * USED_SLOTS) as u32).max(1);
+    AdmissionLimits {
+        initial_concurrency: concurrency,
+        min_concurrency: concurrency,
+        max_concurrency: concurrency,
+        queue_length: slots * QUEUE_FACTOR,
+        queue_wait_ms: QUEUE_WAIT_MS,
+    }
+}
--- /dev/null
+++ b/src/mesh/fleet_state.rs
@@ -0,0 +1,309 @@
+//! State that all requests of a daemon share.
+
+use crate::{
+    common::*,
+    decision::{
+        clock::Clock,
+        mesh::{
+            attempt_budget::AttemptBudget,
+            fleet_view::{EntryItem, FleetView},
+            instance_choice::InstanceChoice,
+            route_table::RouteTable,
+            weighted_spread::WeightedSpread,
+        },
+    },
+    mesh::{
+        context_headers::ContextHeaders,
+        executor::Executor,
+        mesh_settings::MeshSettings,
+        peer_frame::HelloFrame,
+        store_interface::{StoreFormat, StoreItem},
+    },
+};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+/// State that all requests of a daemon share.
+pub struct FleetState {
+    /// Settings read at start.
+    pub settings: MeshSettings,
+    /// Names of the context headers.
+    pub headers: ContextHeaders,
+    /// Calls of the store and the form of its values.
+    pub format: Arc<dyn StoreFormat>,
+    /// Clock of all decisions.
+    pub clock: Arc<dyn Clock>,
+    /// Random number that tells the starts of daemons apart.
+    pub daemon: u64,
+    /// Runs requests at the own backend server.
+    pub executor: Arc<Executor>,
+    /// Instances to choose from.
+    pub choice: Mutex<InstanceChoice>,
+    /// Spread over weighted targets.
+    pub spread: Mutex<WeightedSpread>,
+    /// Budget of repeated requests.
+    pub budget: Mutex<AttemptBudget>,
+    started: Instant,
+    view: Mutex<FleetView>,
+    items: Mutex<KnownItems>,
+    routes: Mutex<Option<Arc<RouteTable>>>,
+    is_leaving: AtomicBool,
+    next_number: AtomicU64,
+    open_requests: AtomicU64,
+}
+
+/// Values of the store in the form in which other daemons get them.
+#[derive(Debug, Default)]
+struct KnownItems {
+    config: Option<StoreItem>,
+    entries: IndexMap<SmolStr, StoreItem>,
+}
+
+/// Counts a request as open until it is dropped.
+pub struct OpenRequest {
+    state: Arc<FleetState>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.state.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl FleetState {
+    /// Creates the state of a daemon.
+    pub fn new(
+        settings: MeshSettings,
+        headers: ContextHeaders,
+        format: Arc<dyn StoreFormat>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let executor = Executor::new(
+            settings.service.clone(),
+            settings.backend,
+            headers,
+            Arc::clone(&clock),
+        );
+        let choice = InstanceChoice::new(settings.data_centre.clone(), rand::random());
+        Self {
+            started: clock.now(),
+            choice: Mutex::new(choice),
+            spread: Mutex::new(WeightedSpread::new(rand::random())),
+            budget: Mutex::new(AttemptBudget::new(settings.budget)),
+            executor: Arc::new(executor),
+            settings,
+            headers,
+            format,
+            clock,
+            daemon: rand::random(),
+            view: Mutex::default(),
+            items: Mutex::default(),
+            routes: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            next_number: AtomicU64::new(1),
+            open_requests: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.lock().clone()
+    }
+
+    /// Returns whether the daemon has what it needs to serve.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.routes.lock().is_some() && !self.view.lock().is_empty()
+    }
+
+    /// Returns whether the daemon was asked to end.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Refuses new runs from now on; requests of callers are still served.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+        self.executor.leave();
+    }
+
+    /// Returns the next run number.
+    pub fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the time since the start in microseconds.
+    pub fn uptime_us(&self) -> u64 {
+        let uptime = self.clock.now().saturating_duration_since(self.started);
+        uptime.as_micros() as u64
+    }
+
+    /// Counts a request as open until the result is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenRequest {
+            state: Arc::clone(self),
+        }
+    }
+
+    /// Returns the number of open requests.
+    pub fn open_requests(&self) -> u64 {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of known instances.
+    pub fn members(&self) -> usize {
+        self.items.lock().entries.len()
+    }
+
+    /// Returns the addresses of the daemons beside all known instances.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let port = self.settings.peer.port();
+        let own = self.settings.peer.ip();
+        let view = self.view.lock();
+        let mut addresses: Vec<SocketAddr> = view
+            .members()
+            .map(|(_, entry)| SocketAddr::new(entry.address.ip(), port))
+            .filter(|address| address.ip() != own)
+            .collect();
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Returns the greeting of this daemon.
+    pub fn hello(&self) -> HelloFrame {
+        let version = self.routes().map_or(0, |routes| routes.version().0);
+        HelloFrame {
+            daemon: self.daemon,
+            ip: self.settings.peer.ip(),
+            is_leaving: self.is_leaving(),
+            config_version: version,
+            members: self.members() as u32,
+        }
+    }
+
+    /// Returns all that this daemon knows of the store.
+    pub fn all_items(&self) -> Vec<StoreItem> {
+        let items = self.items.lock();
+        let entries = items.entries.values();
+        items.config.iter().chain(entries).cloned().collect()
+    }
+
+    /// Learns values of the store; returns those that were new.
+    pub fn learn(&self, items: &[StoreItem]) -> Vec<StoreItem> {
+        let now = self.clock.now();
+        let news: Vec<StoreItem> = items
+            .iter()
+            .filter(|item| self.learn_item(item, now))
+            .cloned()
+            .collect();
+        if news.iter().any(|item| item.instance.is_some()) {
+            self.follow_members(now);
+        }
+        news
+    }
+
+    /// Learns the complete list of the entries as of a revision.
+    pub fn learn_entries(&self, items: &[StoreItem], revision: u64) -> Vec<StoreItem> {
+        let now = self.clock.now();
+        let news = self.learn(items);
+        let entries: Vec<EntryItem> = items.iter().filter_map(|item| self.decode(item)).collect();
+        if self.view.lock().reconcile(&entries, revision, now) {
+            self.items
+                .lock()
+                .entries
+                .retain(|id, _| entries.iter().any(|entry| entry.id == *id));
+            self.follow_members(now);
+        }
+        news
+    }
+
+    /// Records that the store does not answer.
+    pub fn store_lost(&self) {
+        self.view.lock().store_lost();
+    }
+
+    /// Records an answer of the store.
+    pub fn store_answered(&self) {
+        self.view.lock().store_answered(self.clock.now());
+    }
+
+    /// Puts removals in force whose time has come.
+    pub fn settle(&self) {
+        let now = self.clock.now();
+        if self.view.lock().settle(now) {
+            self.follow_members(now);
+        }
+    }
+
+    fn learn_item(&self, item: &StoreItem, now: Instant) -> bool {
+        if item.is_config {
+            return self.learn_config(item);
+        }
+        let Some(entry) = self.decode(item) else {
+            return false;
+        };
+        if !self.view.lock().apply(&entry, now) {
+            return false;
+        }
+        let mut items = self.items.lock();
+        if entry.entry.is_some() {
+            items.entries.insert(entry.id, item.clone());
+        } else {
+            items.entries.swap_remove(&entry.id);
+        }
+        true
+    }
+
+    fn learn_config(&self, item: &StoreItem) -> bool {
+        let Some(value) = &item.value else {
+            return false;
+        };
+        let table = match self.format.decode_config(value) {
+            Ok(table) => table,
+            Err(error) => {
+                log::warn!("config: The configuration stays as it is. {error}");
+                return false;
+            }
+        };
+        let mut routes = self.routes.lock();
+        let version = table.version();
+        if routes.as_ref().is_some_and(|now| now.version() >= version) {
+            return false;
+        }
+        log::info!(
+            "config: Version {} with {} routes is in force.",
+            version.0,
+            table.len()
+        );
+        *routes = Some(Arc::new(table));
+        drop(routes);
+        self.items.lock().config = Some(item.clone());
+        true
+    }
+
+    fn decode(&self, item: &StoreItem) -> Option<EntryItem> {
+        let id = item.instance.clone()?;
+        let entry = item.value.as_ref().and_then(|value| {
+            let decoded = self.format.decode_entry(value);
+            decoded
+                .inspect_err(|error| log::warn!("members: The entry {id} is left out. {error}"))
+                .ok()
+        });
+        Some(EntryItem {
+            id,
+            revision: item.revision,
+            entry,
+        })
+    }
+
+    fn follow_members(&self, now: Instant) {
+        let view = self.view.lock();
+        self.choice.lock().update(&view, now);
+        let own = view
+            .members()
+            .find(|(_, entry)| entry.address == self.settings.backend);
+        if let Some((_, entry)) = own {
+            self.executor.set_slots(entry.slots);
+        }
+    }
+}
--- /dev/null
+++ b/src/mesh/mesh_daemon.rs
@@ -0,0 +1,152 @@
+//! Life of a daemon whose routes and members come from a store.
+
+use crate::{
+    common::*,
+    decision::clock::SystemClock,
+    mesh::{
+        caller_connection,
+        context_headers::ContextHeaders,
+        entry::RequestEntry,
+        fleet_state::FleetState,
+        mesh_settings::MeshSettings,
+        peer_frame::PeerFrame,
+        peer_links::PeerLinks,
+        peer_listener::PeerListener,
+        readiness_listener,
+        store_interface::{StoreFormat, StorePrefix},
+        store_reader::StoreReader,
+    },
+};
+use std::io;
+use tokio::{net::TcpListener, sync::watch, task::JoinSet};
+
+/// Interval of the housekeeping while requests wait at the gate.
+const BUSY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Interval of the housekeeping otherwise.
+const IDLE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Interval at which unreachable daemons are tried again.
+const PROBE_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Time after the signal to end in which clients notice that the daemon is not ready: they ask once
+/// a second and leave after two answers.
+const LEAVE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Time that is left for the end of the process before it is killed.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// A daemon cannot start.
+#[derive(Debug, Error)]
+pub enum MeshError {
+    /// A listener cannot be opened.
+    #[error("The address {address} cannot be opened: {source}.")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+}
+
+/// Runs a daemon until it is asked to end and its requests are answered.
+pub async fn run(
+    settings: MeshSettings,
+    headers: ContextHeaders,
+    format: Arc<dyn StoreFormat>,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), MeshError> {
+    let state = Arc::new(FleetState::new(
+        settings,
+        headers,
+        format,
+        Arc::new(SystemClock),
+    ));
+    let settings = &state.settings;
+    let outbound = listen(settings.outbound).await?;
+    let peer = listen(settings.peer).await?;
+    let readiness = listen(settings.readiness).await?;
+    log::info!(
+        "daemon: Started beside {} of {}.",
+        settings.backend,
+        settings.service
+    );
+    let links = PeerLinks::new(Arc::clone(&state));
+    let runs = PeerListener::new(Arc::clone(&state));
+    let entry = Arc::new(RequestEntry::new(Arc::clone(&state), Arc::clone(&links)));
+    let mut tasks = JoinSet::new();
+    for prefix in [StorePrefix::Config, StorePrefix::Entries] {
+        tasks.spawn(StoreReader::new(Arc::clone(&state), Arc::clone(&links), prefix).run());
+    }
+    tasks.spawn(Arc::clone(&runs).serve(peer));
+    tasks.spawn(caller_connection::serve(outbound, entry));
+    tasks.spawn(readiness_listener::serve(readiness, Arc::clone(&state)));
+    tasks.spawn(keep_house(
+        Arc::clone(&state),
+        Arc::clone(&runs),
+        Arc::clone(&links),
+    ));
+    for seed in &settings.seeds {
+        let address = SocketAddr::new(seed.ip(), settings.peer.port());
+        if address.ip() != settings.peer.ip()
+            && let Some(link) = links.link(address)
+        {
+            link.send(PeerFrame::Ping);
+        }
+    }
+    let _ = stop.wait_for(|is_stopping| *is_stopping).await;
+    state.leave();
+    links.broadcast(&PeerFrame::Leaving);
+    leave(&state, &runs).await;
+    log::info!(
+        "daemon: Stopped with {} open requests.",
+        state.open_requests()
+    );
+    Ok(())
+}
+
+/// Waits until the clients have left and all requests are answered.
+async fn leave(state: &FleetState, runs: &PeerListener) {
+    let started = state.clock.now();
+    let latest = started + state.settings.grace().saturating_sub(EXIT_MARGIN);
+    let earliest = (started + LEAVE_TIME).min(latest);
+    loop {
+        tokio::time::sleep(BUSY_INTERVAL).await;
+        let now = state.clock.now();
+        let is_idle = state.open_requests() == 0 && runs.running() == 0;
+        if now >= latest || (now >= earliest && is_idle) {
+            return;
+        }
+    }
+}
+
+async fn keep_house(state: Arc<FleetState>, runs: Arc<PeerListener>, links: Arc<PeerLinks>) {
+    let mut next_probe = state.clock.now() + PROBE_INTERVAL;
+    let mut last = state.clock.now();
+    loop {
+        let is_busy = state.executor.tick();
+        let interval = if is_busy {
+            BUSY_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
+        let now = state.clock.now();
+        if now < last + IDLE_INTERVAL {
+            continue;
+        }
+        last = now;
+        runs.expire();
+        state.settle();
+        if now >= next_probe {
+            next_probe = now + PROBE_INTERVAL;
+            links.probe();
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, MeshError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| MeshError::Listen { address, source })
+}
--- /dev/null
+++ b/src/mesh/mesh_settings.rs
@@ -0,0 +1,81 @@
+//! Settings of a daemon whose routes and members come from a store.
+
+use crate::{
+    common::*,
+    decision::mesh::attempt_budget::BudgetBounds,
+    settings::{InvalidSettings, LogSettings, SettingsError},
+    toml_location::{self, KeyLocation},
+};
+use std::path::Path;
+
+/// Largest settings file, in bytes.
+const MAX_SETTINGS_BYTES: usize = 1 << 20;
+
+/// Settings of one daemon, read from a TOML file.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct MeshSettings {
+    /// Name of the instance.
+    pub instance: SmolStr,
+    /// Data centre of the instance.
+    pub data_centre: SmolStr,
+    /// Service of the backend server.
+    pub service: SmolStr,
+    /// Address of the own backend server.
+    pub backend: SocketAddr,
+    /// Listener for the calls of clients and of the own backend server.
+    pub outbound: SocketAddr,
+    /// Listener for other daemons. All daemons use the same port.
+    pub peer: SocketAddr,
+    /// Listener for the question whether the daemon takes requests.
+    pub readiness: SocketAddr,
+    /// Listener for metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Addresses of daemons to ask while the store is away; their ports do not matter.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Time from the signal to end until the process is killed, in seconds.
+    pub grace_s: f64,
+    /// Bounds on repeated requests that all daemons share.
+    #[serde(default)]
+    pub budget: BudgetBounds,
+    /// Level and format of the log.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl MeshSettings {
+    /// Reads the settings from a file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let bytes = std::fs::read(path).map_err(|source| SettingsError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::from_bytes(&bytes).map_err(|source| SettingsError::Invalid {
+            path: path.to_owned(),
+            source,
+        })
+    }
+
+    /// Reads the settings from the bytes of a file.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, InvalidSettings> {
+        if bytes.len() > MAX_SETTINGS_BYTES {
+            return Err(InvalidSettings::TooLarge(bytes.len()));
+        }
+        let text = std::str::from_utf8(bytes).map_err(|error| InvalidSettings::Encoding {
+            line: toml_location::line_of(bytes, error.valid_up_to()),
+        })?;
+        toml::from_str(text).map_err(|error| InvalidSettings::Syntax {
+            location: KeyLocation::of_error(text, &error),
+            message: toml_location::short_message(&error),
+        })
+    }
+
+    /// Returns the time from the signal to end until the process is killed.
+    pub fn grace(&self) -> Duration {
+        Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/mesh/store_reader.rs
@@ -0,0 +1,115 @@
+//! Follows the store.
+
+use crate::{
+    common::*,
+    mesh::{
+        fleet_state::FleetState,
+        peer_links::PeerLinks,
+        store_client::{StoreClient, StoreError},
+        store_interface::{StoreItem, StorePrefix},
+    },
+};
+
+/// Time for which a watch waits for changes. Shorter waits find a silent connection earlier, longer
+/// ones cost fewer calls.
+const WATCH_TIME: Duration = Duration::from_millis(5_000);
+
+/// First pause after a failed call; it doubles with each further failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed calls.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// Status code of a store that has dropped the history a watch asks for.
+const STATUS_GONE: u16 = 410;
+
+/// Follows one part of the store.
+pub struct StoreReader {
+    state: Arc<FleetState>,
+    links: Arc<PeerLinks>,
+    prefix: StorePrefix,
+    client: StoreClient,
+}
+
+impl StoreReader {
+    /// Creates a reader.
+    pub fn new(state: Arc<FleetState>, links: Arc<PeerLinks>, prefix: StorePrefix) -> Self {
+        let client = StoreClient::new(state.settings.store, Arc::clone(&state.format));
+        Self {
+            state,
+            links,
+            prefix,
+            client,
+        }
+    }
+
+    /// Follows the store until the task is dropped.
+    pub async fn run(mut self) {
+        let mut failures = 0;
+        let mut revision = None;
+        loop {
+            let result = match revision {
+                None => self.read_all().await,
+                Some(revision) => self.watch(revision).await,
+            };
+            match result {
+                Ok(next) => {
+                    if failures > 0 {
+                        log::info!("store: {:?} is read again.", self.prefix);
+                    }
+                    failures = 0;
+                    revision = Some(next);
+                    self.state.store_answered();
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        log::info!("store: {:?} cannot be read. {error}", self.prefix);
+                    }
+                    if matches!(error, StoreError::Status(STATUS_GONE)) {
+                        revision = None;
+                        continue;
+                    }
+                    self.state.store_lost();
+                    // After an outage only a complete list tells what lapsed.
+                    revision = None;
+                    tokio::time::sleep(pause(failures)).await;
+                    failures += 1;
+                }
+            }
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<u64, StoreError> {
+        let mut items: Vec<StoreItem> = Vec::new();
+        let mut revision = None;
+        let mut after: Option<SmolStr> = None;
+        loop {
+            let page = self.client.page(self.prefix, after.as_deref()).await?;
+            // Changes after the first page was read are seen by the watch that follows.
+            let revision = *revision.get_or_insert(page.revision);
+            items.extend(page.items);
+            if page.has_more && page.last_key.is_some() {
+                after = page.last_key;
+                continue;
+            }
+            let news = match self.prefix {
+                StorePrefix::Config => self.state.learn(&items),
+                StorePrefix::Entries => self.state.learn_entries(&items, revision),
+            };
+            self.links.tell(news);
+            return Ok(revision);
+        }
+    }
+
+    async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
+        let watch = self.client.watch(self.prefix, revision, WATCH_TIME).await?;
+        let news = self.state.learn(&watch.items);
+        self.links.tell(news);
+        Ok(watch.revision)
+    }
+}
+
+fn pause(failures: u32) -> Duration {
+    let pause = (FIRST_PAUSE * 2u32.pow(failures.min(8))).min(MAX_PAUSE);
+    pause.mul_f64(0.5 + rand::random::<f64>())
+}
--- /dev/null
+++ b/src/platform/config_document.rs
@@ -0,0 +1,125 @@
+//! Route configuration as the operator writes it to the store.
+
+use crate::{
+    common::*,
+    decision::mesh::route_table::{
+        CallerLimits, RouteSpec, RouteTable, RouteVersion, RunRule, WeightedTarget,
+    },
+};
+
+/// A route configuration cannot be read.
+#[derive(Debug, Error)]
+pub enum ConfigDocumentError {
+    /// The text is not of the expected form.
+    #[error("The route configuration cannot be read: {0}.")]
+    Form(#[from] serde_json::Error),
+    /// The version is not `r` followed by a number.
+    #[error("The version `{0}` of the route configuration is not a number behind `r`.")]
+    Version(SmolStr),
+    /// A time is negative or not a number.
+    #[error("The route `{0}` has a time that is no duration.")]
+    Time(SmolStr),
+}
+
+#[derive(Deserialize)]
+struct ConfigDocument {
+    version: SmolStr,
+    routes: Vec<RouteDocument>,
+    #[serde(default)]
+    limits: Option<LimitsDocument>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RouteDocument {
+    name: SmolStr,
+    hostname: SmolStr,
+    prefix: SmolStr,
+    route_type: SmolStr,
+    timeout_s: f64,
+    target_latency_s: f64,
+    priority: u8,
+    max_attempts: u32,
+    #[serde(default)]
+    service: Option<SmolStr>,
+    #[serde(default)]
+    weighted_targets: Option<Vec<TargetDocument>>,
+}
+
+#[derive(Deserialize)]
+struct TargetDocument {
+    service: SmolStr,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct LimitsDocument {
+    max_header_bytes: usize,
+    max_body_bytes: u64,
+    header_timeout_s: f64,
+    idle_timeout_s: f64,
+}
+
+/// Decodes a route configuration.
+pub fn decode(bytes: &[u8]) -> Result<RouteTable, ConfigDocumentError> {
+    let document: ConfigDocument = serde_json::from_slice(bytes)?;
+    let version = document
+        .version
+        .strip_prefix('r')
+        .and_then(|number| number.parse().ok())
+        .ok_or_else(|| ConfigDocumentError::Version(document.version.clone()))?;
+    let limits = match document.limits {
+        Some(limits) => limits.decode()?,
+        None => CallerLimits::default(),
+    };
+    let routes: Result<Vec<_>, _> = document
+        .routes
+        .into_iter()
+        .map(RouteDocument::decode)
+        .collect();
+    Ok(RouteTable::new(RouteVersion(version), limits, routes?))
+}
+
+fn seconds(value: f64, name: &SmolStr) -> Result<Duration, ConfigDocumentError> {
+    Duration::try_from_secs_f64(value).map_err(|_| ConfigDocumentError::Time(name.clone()))
+}
+
+impl RouteDocument {
+    fn decode(self) -> Result<RouteSpec, ConfigDocumentError> {
+        let single = self
+            .service
+            .map(|service| WeightedTarget { service, weight: 1 });
+        let weighted = self.weighted_targets.unwrap_or_default();
+        let weighted = weighted.into_iter().map(|target| WeightedTarget {
+            service: target.service,
+            weight: target.weight,
+        });
+        Ok(RouteSpec {
+            timeout: seconds(self.timeout_s, &self.name)?,
+            latency_target: seconds(self.target_latency_s, &self.name)?,
+            name: self.name,
+            host: self.hostname,
+            prefix: self.prefix,
+            rule: match self.route_type.as_str() {
+                "safe" | "download" => RunRule::Repeatable,
+                _ => RunRule::Once,
+            },
+            max_attempts: self.max_attempts.max(1),
+            priority: self.priority,
+            targets: single.into_iter().chain(weighted).collect(),
+        })
+    }
+}
+
+impl LimitsDocument {
+    fn decode(self) -> Result<CallerLimits, ConfigDocumentError> {
+        let name = SmolStr::new_static("limits");
+        Ok(CallerLimits {
+            header_bytes: self.max_header_bytes,
+            body_bytes: self.max_body_bytes,
+            header_timeout: seconds(self.header_timeout_s, &name)?,
+            idle_timeout: seconds(self.idle_timeout_s, &name)?,
+        })
+    }
+}
--- /dev/null
+++ b/src/platform/store_calls.rs
@@ -0,0 +1,121 @@
+//! Calls of the platform's store and the form of its answers.
+
+use crate::{
+    common::*,
+    decision::mesh::{fleet_view::BackendEntry, route_table::RouteTable},
+    mesh::store_interface::{
+        StoreFormat, StoreFormatError, StoreItem, StorePage, StorePrefix, StoreWatch,
+    },
+    platform::{config_document, entry_document},
+};
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+
+/// Key of the route configuration.
+const CONFIG_KEY: &str = "op/config";
+/// Prefix under which the operator writes.
+const CONFIG_PREFIX: &str = "op/";
+/// Prefix of the backend servers' entries.
+const ENTRY_PREFIX: &str = "servers/";
+
+/// Calls and values of the platform's store.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformStore;
+
+#[derive(Deserialize)]
+struct ItemDocument {
+    key: SmolStr,
+    revision: u64,
+    #[serde(default)]
+    value: Option<String>,
+    #[serde(default)]
+    tombstone: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RangeDocument {
+    items: Vec<ItemDocument>,
+    has_more: bool,
+    // Revision of the store when it answered.
+    as_of: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WatchDocument {
+    events: Vec<ItemDocument>,
+    as_of: u64,
+}
+
+fn prefix_text(prefix: StorePrefix) -> &'static str {
+    match prefix {
+        StorePrefix::Config => CONFIG_PREFIX,
+        StorePrefix::Entries => ENTRY_PREFIX,
+    }
+}
+
+impl StoreFormat for PlatformStore {
+    fn range_target(&self, prefix: StorePrefix, after: Option<&str>) -> String {
+        let prefix = utf8_percent_encode(prefix_text(prefix), NON_ALPHANUMERIC);
+        match after {
+            None => format!("/kv-range?prefix={prefix}"),
+            Some(key) => {
+                let key = utf8_percent_encode(key, NON_ALPHANUMERIC);
+                format!("/kv-range?prefix={prefix}&after={key}")
+            }
+        }
+    }
+
+    fn watch_target(&self, prefix: StorePrefix, after: u64, wait: Duration) -> String {
+        let prefix = utf8_percent_encode(prefix_text(prefix), NON_ALPHANUMERIC);
+        let wait = wait.as_millis();
+        format!("/kv-watch?prefix={prefix}&after={after}&wait-ms={wait}")
+    }
+
+    fn decode_page(&self, bytes: &[u8]) -> Result<StorePage, StoreFormatError> {
+        let document: RangeDocument = serde_json::from_slice(bytes).map_err(unreadable)?;
+        Ok(StorePage {
+            last_key: document.items.last().map(|item| item.key.clone()),
+            items: document.items.into_iter().map(decode_item).collect(),
+            has_more: document.has_more,
+            revision: document.as_of,
+        })
+    }
+
+    fn decode_watch(&self, bytes: &[u8]) -> Result<StoreWatch, StoreFormatError> {
+        let document: WatchDocument = serde_json::from_slice(bytes).map_err(unreadable)?;
+        Ok(StoreWatch {
+            items: document.events.into_iter().map(decode_item).collect(),
+            revision: document.as_of,
+        })
+    }
+
+    fn decode_config(&self, bytes: &[u8]) -> Result<RouteTable, StoreFormatError> {
+        config_document::decode(bytes).map_err(unreadable)
+    }
+
+    fn decode_entry(&self, bytes: &[u8]) -> Result<BackendEntry, StoreFormatError> {
+        entry_document::decode(bytes).map_err(unreadable)
+    }
+}
+
+fn unreadable(error: impl Display) -> StoreFormatError {
+    StoreFormatError(error.to_string().into())
+}
+
+fn decode_item(item: ItemDocument) -> StoreItem {
+    let value = item.value.filter(|_| !item.tombstone).map(|text| {
+        // A value that is no valid text of this encoding stays unreadable for its decoder, too.
+        let bytes = STANDARD.decode(&text).unwrap_or_default();
+        Bytes::from(bytes)
+    });
+    let instance = item.key.strip_prefix(ENTRY_PREFIX).map(SmolStr::new);
+    StoreItem {
+        is_config: item.key == CONFIG_KEY,
+        instance,
+        revision: item.revision,
+        value,
+    }
+}
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    mesh::mesh_daemon::MeshError,
     settings::SettingsError,
     shell::{daemon::DaemonError, logging::LogError},
 };
@@ -18,6 +19,7 @@
 mod explain;
 mod profiles;
 mod run;
+mod sidecar;
 mod status;
 
 /// Exit code of a refusal or failure.
@@ -38,6 +40,9 @@
     /// Run the daemon.
     #[bpaf(command)]
     Run(#[bpaf(external(run::run_arguments))] run::RunArguments),
+    /// Run the daemon on a platform whose routes and members come from a store.
+    #[bpaf(command)]
+    Sidecar(#[bpaf(external(sidecar::sidecar_arguments))] sidecar::SidecarArguments),
     /// Validate a settings file or a profile.
     #[bpaf(command)]
     Check(#[bpaf(external(check::check_arguments))] check::CheckArguments),
@@ -64,6 +69,9 @@
     /// The daemon failed.
     #[error(transparent)]
     Daemon(#[from] DaemonError),
+    /// The daemon of a fleet failed.
+    #[error(transparent)]
+    Mesh(#[from] MeshError),
     /// The log cannot be set up.
     #[error(transparent)]
     Log(#[from] LogError),
@@ -106,6 +114,7 @@
     };
     let result = match subcommand {
         Subcommand::Run(arguments) => run::run(&arguments),
+        Subcommand::Sidecar(arguments) => sidecar::sidecar(&arguments),
         Subcommand::Check(arguments) => check::check(&arguments),
         Subcommand::Status(arguments) => status::status(&arguments),
         Subcommand::Profiles(arguments) => profiles::profiles(&arguments),
--- a/src/subcommand/run.rs
+++ b/src/subcommand/run.rs
@@ -40,7 +40,8 @@
     })
 }
 
-fn stop_signal() -> io::Result<watch::Receiver<bool>> {
+/// Becomes true at the first signal to end.
+pub(super) fn stop_signal() -> io::Result<watch::Receiver<bool>> {
     let (sender, receiver) = watch::channel(false);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/src/subcommand/sidecar.rs
@@ -0,0 +1,33 @@
+//! `sidecar`: the daemon on the users' platform.
+
+use super::{SubcommandError, run::stop_signal};
+use crate::{
+    mesh::{mesh_daemon, mesh_settings::MeshSettings},
+    platform::{context_names, store_calls::PlatformStore},
+    shell::logging,
+};
+use bpaf::Bpaf;
+use std::{path::PathBuf, sync::Arc};
+use tokio::runtime::Builder;
+
+/// Arguments of `sidecar`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(super) struct SidecarArguments {
+    /// Settings file
+    #[bpaf(short, long, argument("FILE"), env("SKYLARKSTREAM_CONFIG"))]
+    settings: PathBuf,
+}
+
+pub(super) fn sidecar(arguments: &SidecarArguments) -> Result<(), SubcommandError> {
+    let settings = MeshSettings::load(&arguments.settings)?;
+    logging::init(&settings.log)?;
+    // The machines run one thread at a time, so that more threads only add switches.
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let stop = stop_signal()?;
+        let format = Arc::new(PlatformStore);
+        mesh_daemon::run(settings, context_names::context_headers(), format, stop).await?;
+        Ok(())
+    })
+}
