Admit root requests at their entry by a learned call graph

Change: daemons tell each other entries, runs and calls by route; each plans which share of each root route fits, in the order of priority. Repeats are charged to every service below. SIGHUP and a changed file reload the settings.

--- a/src/decision/mesh/attempt_budget.rs
+++ b/src/decision/mesh/attempt_budget.rs
@@ -1,6 +1,6 @@
 //! Share of the fleet's budget of repeated requests that one daemon may spend.
 
-use crate::common::*;
+use crate::{common::*, decision::mesh::admission_plan::ServiceCost};
 use std::collections::VecDeque;
 
 /// Bounds on repeated requests that all daemons share.
@@ -25,9 +25,11 @@
     }
 }
 
-/// Part of the bound that the daemons plan to use. The rest covers repeats of calls that repeated
-/// requests make further down.
-const PLANNED_SHARE: f64 = 0.5;
+/// Part of the bound that each daemon derives from the requests that enter at itself.
+const OWN_SHARE: f64 = 0.4;
+
+/// Part of the bound that all daemons split evenly.
+const EVEN_SHARE: f64 = 0.4;
 
 /// Slots into which a window is divided for counting.
 const SLOTS: u32 = 10;
@@ -55,25 +57,46 @@
         }
     }
 
+    /// Puts new bounds in force.
+    pub fn set_bounds(&mut self, bounds: BudgetBounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts a request for a service.
     pub fn on_request(&mut self, service: &SmolStr, now: Instant) {
         self.slot(service, now).requests += 1.0;
     }
 
-    /// Takes one repeat at a service; returns false if the share of this daemon is used up.
-    /// `daemons` is the number of daemons that share the slack.
-    pub fn take_repeat(&mut self, service: &SmolStr, daemons: usize, now: Instant) -> bool {
-        let bounds = self.bounds;
-        self.slot(service, now);
-        let slots = &self.services[service];
+    /// Takes one repeat with all the runs that it causes; returns false, and takes nothing, if the
+    /// share of this daemon is used up at one of the services. `rate` tells the requests per second
+    /// of the whole fleet for a service, and `daemons` how many daemons there are.
+    pub fn take_repeat(
+        &mut self,
+        costs: &[ServiceCost],
+        rate: impl Fn(&str) -> f64,
+        daemons: usize,
+        now: Instant,
+    ) -> bool {
+        let is_granted = costs
+            .iter()
+            .all(|cost| self.has_room(cost, rate(&cost.service), daemons, now));
+        if is_granted {
+            for cost in costs {
+                self.slot(&cost.service, now).repeats += cost.runs;
+            }
+        }
+        is_granted
+    }
+
+    fn has_room(&mut self, cost: &ServiceCost, rate: f64, daemons: usize, now: Instant) -> bool {
+        self.slot(&cost.service, now);
+        let slots = &self.services[&cost.service];
         let requests: f64 = slots.iter().map(|slot| slot.requests).sum();
         let repeats: f64 = slots.iter().map(|slot| slot.repeats).sum();
-        let slack = bounds.slack / daemons.max(1) as f64;
-        if repeats + 1.0 > PLANNED_SHARE * (bounds.ratio * requests + slack).max(1.0) {
-            return false;
-        }
-        self.slot(service, now).repeats += 1.0;
-        true
+        let bounds = self.bounds;
+        let fleet = bounds.ratio * rate * bounds.window_s + bounds.slack;
+        let even = EVEN_SHARE * fleet / daemons.max(1) as f64;
+        repeats + cost.runs <= OWN_SHARE * bounds.ratio * requests + even
     }
 
     fn slot(&mut self, service: &SmolStr, now: Instant) -> &mut CountSlot {
--- a/src/decision/mesh/route_table.rs
+++ b/src/decision/mesh/route_table.rs
@@ -85,6 +85,7 @@
     limits: CallerLimits,
     routes: SlotMap<RouteKey, RouteSpec>,
     by_host: IndexMap<SmolStr, Vec<RouteKey>>,
+    by_name: IndexMap<SmolStr, RouteKey>,
 }
 
 impl RouteTable {
@@ -92,9 +93,12 @@
     pub fn new(version: RouteVersion, limits: CallerLimits, specs: Vec<RouteSpec>) -> Self {
         let mut routes = SlotMap::with_key();
         let mut by_host = IndexMap::<SmolStr, Vec<RouteKey>>::new();
+        let mut by_name = IndexMap::new();
         for spec in specs {
             let host = spec.host.to_ascii_lowercase_smolstr();
+            let name = spec.name.clone();
             let key = routes.insert(spec);
+            by_name.insert(name, key);
             by_host.entry(host).or_default().push(key);
         }
         for keys in by_host.values_mut() {
@@ -105,6 +109,7 @@
             limits,
             routes,
             by_host,
+            by_name,
         }
     }
 
@@ -128,6 +133,16 @@
         self.routes.is_empty()
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &RouteSpec> {
+        self.routes.values()
+    }
+
+    /// Returns the route with a name.
+    pub fn by_name(&self, name: &str) -> Option<&RouteSpec> {
+        self.by_name.get(name).map(|key| &self.routes[*key])
+    }
+
     /// Finds the route of the host with the longest prefix that begins the path. A port in the host
     /// and a query behind the path do not count.
     pub fn find(&self, host: &str, target: &str) -> Option<&RouteSpec> {
--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -140,7 +140,7 @@
                     if matches!(self.progress, ReadProgress::Head { since: None }) {
                         return Ok(true);
                     }
-                    let answer = self.entry.own_answer(OwnAnswer::SlowCaller, &[]);
+                    let answer = self.entry.own_answer(OwnAnswer::SlowCaller, &[], Duration::ZERO);
                     self.write(writer, &answer, true).await?;
                     return Ok(true);
                 }
@@ -257,7 +257,7 @@
             MessageError::BodySize => OwnAnswer::BodyTooLarge,
             MessageError::Head | MessageError::Length | MessageError::Chunk => OwnAnswer::Malformed,
         };
-        let answer = self.entry.own_answer(reason, &[]);
+        let answer = self.entry.own_answer(reason, &[], Duration::ZERO);
         self.progress = ReadProgress::Closed;
         self.answers
             .push_back(Box::pin(async move { (answer, true) }));
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -3,6 +3,7 @@
 use crate::{
     common::*,
     decision::mesh::{
+        admission_plan::{AdmissionPlan, ServiceCost},
         instance_choice::{AttemptEnd, ChosenInstance, InstanceKey},
         route_table::{RouteSpec, RunRule},
     },
@@ -10,30 +11,43 @@
     mesh::{
         entry_answer::{CallerRequest, EntryAnswer, OwnAnswer},
         fleet_state::FleetState,
-        peer_frame::{CallFrame, NotRunReason, ReplyFrame, RunAnswer, RunEnd, UnknownReason},
+        peer_frame::{
+            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunAnswer, RunEnd, UnknownReason,
+        },
         peer_link::CallEnd,
         peer_links::PeerLinks,
     },
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio::time::timeout_at;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Time before the end of the caller's patience at which it gets its answer.
-const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+const ANSWER_MARGIN: Duration = Duration::from_millis(80);
 
 /// Most instances that are asked for room for one request.
 const MAX_REFUSALS: usize = 4;
 
-/// Shortest time after which a refused caller may come back, in seconds.
-const MIN_RETRY_AFTER_S: f64 = 0.2;
-
-/// Spread of the times after which refused callers come back, in seconds.
-const RETRY_AFTER_SPREAD_S: f64 = 0.4;
+/// Longest time after which a refused caller without a route may come back.
+const DEFAULT_RETURN_TIME: Duration = Duration::from_millis(600);
 
 /// Most class levels below that of nested calls.
 const MAX_PRIORITY: u8 = 5;
 
+/// Time beyond the caller's patience in which the executor tells whether a request was run, so that
+/// one that was not is refused as such.
+const VERDICT_TIME: Duration = Duration::from_millis(60);
+
+/// Part of the latency target that a root request may wait for a slot, as a divisor. A refusal up to an
+/// eighth of the target leaves the caller time to come back.
+const PATIENCE_DIVISOR: u32 = 8;
+
+/// Part of the caller's time after which a refused request is worth sending again at the latest.
+const RETURN_SHARE: f64 = 0.33;
+
+/// Part of the latency target after which a refused request is worth sending again at the latest.
+const RETURN_TARGET_SHARE: f64 = 0.5;
+
 /// Takes requests of callers to the instances.
 pub struct RequestEntry {
     state: Arc<FleetState>,
@@ -49,6 +63,14 @@
     head: Bytes,
     body: Bytes,
     limit: Instant,
+    plan: Arc<AdmissionPlan>,
+    is_nested: bool,
+}
+
+/// Refusal or failure that the daemon answers itself.
+struct OwnEnd {
+    reason: OwnAnswer,
+    return_time: Duration,
 }
 
 /// State of the attempts at one request.
@@ -73,12 +95,17 @@
         &self.state
     }
 
-    /// Creates an answer of the daemon itself.
-    pub fn own_answer(&self, reason: OwnAnswer, attempt: &[u8]) -> EntryAnswer {
-        let retry_after = (reason.status() == 503).then(|| {
-            let spread = RETRY_AFTER_SPREAD_S * rand::random::<f64>();
-            Duration::from_secs_f64(MIN_RETRY_AFTER_S + spread)
-        });
+    /// Creates an answer of the daemon itself. Refused callers come back within `return_time`, spread
+    /// over its second half.
+    pub fn own_answer(
+        &self,
+        reason: OwnAnswer,
+        attempt: &[u8],
+        return_time: Duration,
+    ) -> EntryAnswer {
+        let is_refusal = reason.status() == 503;
+        let retry_after =
+            is_refusal.then(|| return_time.mul_f64(0.5 + 0.5 * rand::random::<f64>()));
         EntryAnswer::own(reason, retry_after, attempt, &self.state.headers)
     }
 
@@ -88,33 +115,42 @@
         let attempt = Bytes::copy_from_slice(attempt.unwrap_or_default());
         match self.answer(&request, &attempt).await {
             Ok(answer) => EntryAnswer::passed_on(answer),
-            Err(reason) => {
+            Err(end) => {
                 log::info!(
                     "entry: {} {} for {} ends with {}, {:?} after it arrived.",
                     request.head.method,
                     request.head.target,
                     attempt.escape_ascii(),
-                    reason.name(),
+                    end.reason.name(),
                     self.state.clock.now() - request.received,
                 );
-                self.own_answer(reason, &attempt)
+                self.own_answer(end.reason, &attempt, end.return_time)
             }
         }
     }
 
-    async fn answer(
-        &self,
-        request: &CallerRequest,
-        attempt: &Bytes,
-    ) -> Result<RunAnswer, OwnAnswer> {
+    async fn answer(&self, request: &CallerRequest, attempt: &Bytes) -> Result<RunAnswer, OwnEnd> {
         let routes = self.state.routes().ok_or(OwnAnswer::NoConfig)?;
         let host = request.head.headers.text("Host").unwrap_or_default();
         let route = routes
             .find(host, &request.head.target)
             .ok_or(OwnAnswer::NoRoute)?;
-        let service = self.state.spread.lock().choose(route);
-        let service = service.ok_or(OwnAnswer::NoInstance)?;
         let patience = self.patience(&request.head, route);
+        let return_time = patience
+            .mul_f64(RETURN_SHARE)
+            .min(route.latency_target.mul_f64(RETURN_TARGET_SHARE));
+        let own_end = |reason| OwnEnd {
+            reason,
+            return_time,
+        };
+        let plan = self.state.plan();
+        let is_nested = plan.route(&route.name).is_some_and(|plan| plan.is_nested);
+        self.state.executor.count_entry(&route.name, is_nested);
+        if !is_nested && !self.is_admitted(request, route, &plan) {
+            return Err(own_end(OwnAnswer::Shed));
+        }
+        let service = self.state.spread.lock().choose(route);
+        let service = service.ok_or(own_end(OwnAnswer::NoInstance))?;
         let entered = EnteredRequest {
             head: self.forwarded_head(&request.head),
             method: request.head.method.clone(),
@@ -123,8 +159,28 @@
             limit: request.received + patience,
             service,
             route,
+            plan,
+            is_nested,
         };
-        self.attempt_until_answered(&entered).await
+        self.attempt_until_answered(&entered).await.map_err(own_end)
+    }
+
+    /// Decides whether the services that a root request needs have room for it.
+    fn is_admitted(
+        &self,
+        request: &CallerRequest,
+        route: &RouteSpec,
+        plan: &AdmissionPlan,
+    ) -> bool {
+        let share = plan.route(&route.name).map_or(1.0, |plan| plan.share);
+        let head = &request.head;
+        let fingerprint = xxh3_64_with_seed(
+            head.target.as_bytes(),
+            xxh3_64(head.headers.get("Host").unwrap_or_default()),
+        );
+        let now = self.state.clock.now();
+        let mut admission = self.state.admission.lock();
+        admission.admit(&route.name, share, fingerprint, now)
     }
 
     async fn attempt_until_answered(
@@ -155,8 +211,7 @@
                 });
             };
             if history.reached > 0 {
-                let members = state.members();
-                let is_granted = state.budget.lock().take_repeat(service, members, now);
+                let is_granted = self.may_repeat(request, &history, now);
                 if !is_granted {
                     let mut choice = state.choice.lock();
                     choice.finish(instance.key, AttemptEnd::Abandoned, now);
@@ -178,6 +233,31 @@
         }
     }
 
+    /// Decides whether a request may be sent to another upstream after one may have seen it.
+    fn may_repeat(
+        &self,
+        request: &EnteredRequest<'_>,
+        history: &AttemptHistory,
+        now: Instant,
+    ) -> bool {
+        let plan = &request.plan;
+        let single = [ServiceCost {
+            service: request.service.clone(),
+            runs: 1.0,
+            slot_seconds: 0.0,
+        }];
+        let planned = plan.route(&request.route.name);
+        let costs = planned.map_or(single.as_slice(), |planned| planned.costs.as_slice());
+        // A run that fails because its calls are refused would be repeated with all of them.
+        let makes_calls = costs.len() > request.route.targets.len();
+        if history.failure.is_some() && makes_calls && plan.is_shedding() {
+            return false;
+        }
+        let rate = |service: &str| plan.rate(service);
+        let mut budget = self.state.budget.lock();
+        budget.take_repeat(costs, rate, plan.daemons(), now)
+    }
+
     /// Makes one attempt; returns `None` if no end is known in time.
     async fn attempt(
         &self,
@@ -202,7 +282,8 @@
                 None => CallEnd::NotSent,
             }
         };
-        let end = timeout_at(request.limit.into(), calling).await.ok();
+        let limit = request.limit + VERDICT_TIME;
+        let end = timeout_at(limit.into(), calling).await.ok();
         guard.end = match &end {
             Some(CallEnd::Reply(reply)) => {
                 self.record_load(request, instance, reply);
@@ -237,9 +318,14 @@
             instance: instance.id.clone(),
             origin: self.state.settings.service.clone(),
             route: request.route.name.clone(),
-            class: 1 + request.route.priority.min(MAX_PRIORITY),
+            class: if request.is_nested {
+                NESTED_CLASS
+            } else {
+                NESTED_CLASS + 1 + request.route.priority.min(MAX_PRIORITY)
+            },
             rank: (xxh3_64(&request.attempt) >> 48) as u16,
             is_repeat: false,
+            patience_ms: (request.route.latency_target / PATIENCE_DIVISOR).as_millis() as u32,
             is_once: request.route.rule == RunRule::Once,
             budget_ms: left.as_millis() as u32,
             sent_us: self.state.uptime_us(),
@@ -293,6 +379,15 @@
     }
 }
 
+impl From<OwnAnswer> for OwnEnd {
+    fn from(reason: OwnAnswer) -> Self {
+        Self {
+            reason,
+            return_time: DEFAULT_RETURN_TIME,
+        }
+    }
+}
+
 impl AttemptHistory {
     /// Records the end of an attempt; returns the final answer if there is one.
     fn record(
--- a/src/mesh/entry_answer.rs
+++ b/src/mesh/entry_answer.rs
@@ -30,6 +30,8 @@
     NoInstance,
     /// All instances are full.
     Busy,
+    /// The services that the request needs have no room for it.
+    Shed,
     /// The budget for repeats is used up, and nothing was run.
     Budget,
     /// The time is over before the request was run.
@@ -52,7 +54,12 @@
     /// Returns the status code.
     pub fn status(self) -> u16 {
         match self {
-            Self::NoConfig | Self::NoInstance | Self::Busy | Self::Budget | Self::Expired => 503,
+            Self::NoConfig
+            | Self::NoInstance
+            | Self::Busy
+            | Self::Shed
+            | Self::Budget
+            | Self::Expired => 503,
             Self::NoRoute => 404,
             Self::Lost => 502,
             Self::Timeout => 504,
@@ -70,6 +77,7 @@
             Self::NoRoute => "no-route",
             Self::NoInstance => "no-instance",
             Self::Busy => "busy",
+            Self::Shed => "shed",
             Self::Budget => "budget",
             Self::Expired => "expired",
             Self::Lost => "lost",
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -6,7 +6,10 @@
     decision::{
         admission::admission_gate::{GateRequest, ShedReason, WorkResult},
         clock::Clock,
-        mesh::{instance_choice::LoadReport, latency_book::LatencyBook},
+        mesh::{
+            call_counts::CallCounts, instance_choice::LoadReport, latency_book::LatencyBook,
+            load_summary::LoadSummary,
+        },
         profile::service_profile::AdmissionLimits,
         request_priority::RequestPriority,
     },
@@ -17,7 +20,9 @@
     mesh::{
         backend_pool::BackendPool,
         context_headers::ContextHeaders,
-        peer_frame::{CallFrame, NotRunReason, ReplyFrame, RunAnswer, RunEnd, UnknownReason},
+        peer_frame::{
+            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunAnswer, RunEnd, UnknownReason,
+        },
     },
 };
 use bytes::{BufMut, BytesMut};
@@ -40,8 +45,9 @@
 /// Most requests that wait at the gate, as a multiple of the slots.
 const QUEUE_FACTOR: u32 = 2;
 
-/// Longest wait for a slot, in milliseconds.
-const QUEUE_WAIT_MS: u32 = 400;
+/// Longest wait for a slot, in milliseconds. Requests state in their deadline when they must start;
+/// this bound only ends the wait of those with a long one.
+const QUEUE_WAIT_MS: u32 = 2_000;
 
 /// Runs requests at the own backend server, as many at a time as it has slots.
 pub struct Executor {
@@ -51,6 +57,7 @@
     gate: Arc<GateController>,
     pool: BackendPool,
     times: Mutex<LatencyBook>,
+    counts: Mutex<CallCounts>,
     is_leaving: AtomicBool,
 }
 
@@ -72,6 +79,7 @@
             clock,
             pool: BackendPool::new(backend),
             times: Mutex::default(),
+            counts: Mutex::default(),
             is_leaving: AtomicBool::new(false),
         }
     }
@@ -102,6 +110,28 @@
         }
     }
 
+    /// Returns the load summary for the other daemons.
+    pub fn summary(&self, daemon: u64) -> LoadSummary {
+        let now = self.clock.now();
+        let counts = self.counts.lock();
+        LoadSummary {
+            daemon,
+            service: self.service.clone(),
+            load: self.load(),
+            entered: counts.entered(now),
+            runs: counts.runs(now),
+            calls: counts.calls(now),
+        }
+    }
+
+    /// Counts a request that entered at this daemon. `is_call` tells that the own backend server
+    /// sent it.
+    pub fn count_entry(&self, route: &SmolStr, is_call: bool) {
+        self.counts
+            .lock()
+            .on_entry(route, is_call, self.clock.now());
+    }
+
     /// Runs a request and describes its end. `deadline` is the end of the caller's patience.
     pub async fn reply(&self, call: &CallFrame, deadline: Instant) -> ReplyFrame {
         let end = self.run(call, deadline).await;
@@ -140,6 +170,7 @@
         if started >= deadline {
             return RunEnd::NotRun(NotRunReason::Expired);
         }
+        let mut run = CountedRun::start(self, &call.route);
         let limit = deadline + ANSWER_GRACE;
         let exchange = self.exchange(connection, call, deadline - started);
         let Ok(result) = timeout_at(limit.into(), exchange).await else {
@@ -162,6 +193,7 @@
         };
         let result = match &end {
             RunEnd::Answered(_) => {
+                run.time = Some(now - started);
                 self.times.lock().record(&call.route, now - started);
                 WorkResult::Completed
             }
@@ -179,7 +211,7 @@
                 retry: call.is_repeat,
                 rank: call.rank,
             },
-            deadline,
+            deadline: self.start_limit(call, deadline),
             entered: self.clock.now(),
             is_entry: call.class > 0,
             caller_service: call.origin.clone(),
@@ -187,6 +219,17 @@
         self.gate.admit(request).await
     }
 
+    /// Returns the deadline that the gate applies. A root request that waits long is better refused,
+    /// so that its caller can come back; a call of admitted work waits as long as it can.
+    fn start_limit(&self, call: &CallFrame, deadline: Instant) -> Instant {
+        if call.class == NESTED_CLASS {
+            return deadline;
+        }
+        let mean = self.times.lock().mean(&call.route).unwrap_or_default();
+        let patience = Duration::from_millis(call.patience_ms.into());
+        deadline.min(self.clock.now() + patience + mean)
+    }
+
     async fn exchange(
         &self,
         mut connection: ClientConnection,
@@ -266,6 +309,33 @@
     }
 }
 
+/// Counts a run as in flight until it is dropped.
+struct CountedRun<'a> {
+    executor: &'a Executor,
+    route: &'a SmolStr,
+    time: Option<Duration>,
+}
+
+impl<'a> CountedRun<'a> {
+    fn start(executor: &'a Executor, route: &'a SmolStr) -> Self {
+        let now = executor.clock.now();
+        executor.counts.lock().on_start(route, now);
+        Self {
+            executor,
+            route,
+            time: None,
+        }
+    }
+}
+
+impl Drop for CountedRun<'_> {
+    fn drop(&mut self) {
+        let now = self.executor.clock.now();
+        let mut counts = self.executor.counts.lock();
+        counts.on_end(self.route, self.time, now);
+    }
+}
+
 fn gate_limits(slots: u32) -> AdmissionLimits {
     let concurrency = ((f64::from(slots) * USED_SLOTS) as u32).max(1);
     AdmissionLimits {
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -5,9 +5,12 @@
     decision::{
         clock::Clock,
         mesh::{
+            admission_plan::{AdmissionPlan, AdmissionPlanner},
             attempt_budget::AttemptBudget,
+            entry_admission::EntryAdmission,
             fleet_view::{EntryItem, FleetView},
             instance_choice::InstanceChoice,
+            load_summary::LoadSummary,
             route_table::RouteTable,
             weighted_spread::WeightedSpread,
         },
@@ -42,6 +45,10 @@
     pub spread: Mutex<WeightedSpread>,
     /// Budget of repeated requests.
     pub budget: Mutex<AttemptBudget>,
+    /// Admission of root requests.
+    pub admission: Mutex<EntryAdmission>,
+    planner: Mutex<AdmissionPlanner>,
+    plan: Mutex<Arc<AdmissionPlan>>,
     started: Instant,
     view: Mutex<FleetView>,
     items: Mutex<KnownItems>,
@@ -89,6 +96,9 @@
             choice: Mutex::new(choice),
             spread: Mutex::new(WeightedSpread::new(rand::random())),
             budget: Mutex::new(AttemptBudget::new(settings.budget)),
+            admission: Mutex::default(),
+            planner: Mutex::default(),
+            plan: Mutex::default(),
             executor: Arc::new(executor),
             settings,
             headers,
@@ -125,6 +135,20 @@
         self.executor.leave();
     }
 
+    /// Puts those settings in force that can change while the daemon runs.
+    pub fn reload(&self, settings: &MeshSettings) {
+        self.budget.lock().set_bounds(settings.budget);
+        let is_same_place = settings.backend == self.settings.backend
+            && settings.service == self.settings.service
+            && settings.outbound == self.settings.outbound
+            && settings.peer == self.settings.peer
+            && settings.store == self.settings.store;
+        log::info!("settings: The settings were read again.");
+        if !is_same_place {
+            log::warn!("settings: A changed address or service takes effect at the next start.");
+        }
+    }
+
     /// Returns the next run number.
     pub fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
@@ -181,6 +205,29 @@
         }
     }
 
+    /// Returns the plan in force.
+    pub fn plan(&self) -> Arc<AdmissionPlan> {
+        Arc::clone(&self.plan.lock())
+    }
+
+    /// Takes the load summary of another daemon.
+    pub fn learn_load(&self, summary: &LoadSummary) {
+        let now = self.clock.now();
+        self.planner.lock().learn(summary.clone(), now);
+    }
+
+    /// Puts a new plan in force; returns the own load summary for the other daemons.
+    pub fn renew_plan(&self) -> LoadSummary {
+        let now = self.clock.now();
+        let summary = self.executor.summary(self.daemon);
+        let mut planner = self.planner.lock();
+        planner.learn(summary.clone(), now);
+        if let Some(routes) = self.routes() {
+            *self.plan.lock() = Arc::new(planner.plan(&routes, now));
+        }
+        summary
+    }
+
     /// Returns all that this daemon knows of the store.
     pub fn all_items(&self) -> Vec<StoreItem> {
         let items = self.items.lock();
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -17,8 +17,20 @@
         store_reader::StoreReader,
     },
 };
-use std::io;
-use tokio::{net::TcpListener, sync::watch, task::JoinSet};
+use std::{
+    io,
+    path::{Path, PathBuf},
+    time::SystemTime,
+};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    task::JoinSet,
+};
+
+/// Interval at which the settings file is checked for changes.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Interval of the housekeeping while requests wait at the gate.
 const BUSY_INTERVAL: Duration = Duration::from_millis(20);
@@ -29,6 +41,13 @@
 /// Interval at which unreachable daemons are tried again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Shortest interval at which daemons tell each other their load.
+const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time between load messages for each daemon of the fleet, so that a daemon receives at most 100 in a
+/// second.
+const LOAD_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
+
 /// Time after the signal to end in which clients notice that the daemon is not ready: they ask once
 /// a second and leave after two answers.
 const LEAVE_TIME: Duration = Duration::from_millis(2_500);
@@ -49,9 +68,11 @@
     },
 }
 
-/// Runs a daemon until it is asked to end and its requests are answered.
+/// Runs a daemon until it is asked to end and its requests are answered. The settings are read again
+/// from their file when it changes.
 pub async fn run(
     settings: MeshSettings,
+    settings_path: PathBuf,
     headers: ContextHeaders,
     format: Arc<dyn StoreFormat>,
     mut stop: watch::Receiver<bool>,
@@ -86,6 +107,8 @@
         Arc::clone(&runs),
         Arc::clone(&links),
     ));
+    tasks.spawn(tell_load(Arc::clone(&state), Arc::clone(&links)));
+    tasks.spawn(reload(Arc::clone(&state), settings_path));
     for seed in &settings.seeds {
         let address = SocketAddr::new(seed.ip(), settings.peer.port());
         if address.ip() != settings.peer.ip()
@@ -120,6 +143,52 @@
     }
 }
 
+/// Tells the other daemons the own load and renews the plan.
+async fn tell_load(state: Arc<FleetState>, links: Arc<PeerLinks>) {
+    loop {
+        let summary = state.renew_plan();
+        if !state.is_leaving() {
+            links.broadcast(&PeerFrame::Load(Arc::new(summary)));
+        }
+        let members = u32::try_from(state.members()).unwrap_or(u32::MAX);
+        let interval = MIN_LOAD_INTERVAL.max(LOAD_INTERVAL_PER_DAEMON * members);
+        tokio::time::sleep(interval.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+    }
+}
+
+/// Reads the settings again after a signal, or when the file has changed.
+async fn reload(state: Arc<FleetState>, path: PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            log::warn!("settings: The signal to reload cannot be received: {error}.");
+            return;
+        }
+    };
+    let mut known = modified(&path);
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(RELOAD_INTERVAL) => {
+                let current = modified(&path);
+                if current == known {
+                    continue;
+                }
+                known = current;
+            }
+        }
+        match MeshSettings::load(&path) {
+            Ok(settings) => state.reload(&settings),
+            Err(error) => log::warn!("settings: The settings in force stay. {error}"),
+        }
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    let metadata = std::fs::metadata(path).ok()?;
+    metadata.modified().ok()
+}
+
 async fn keep_house(state: Arc<FleetState>, runs: Arc<PeerListener>, links: Arc<PeerLinks>) {
     let mut next_probe = state.clock.now() + PROBE_INTERVAL;
     let mut last = state.clock.now();
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -1,13 +1,18 @@
 //! Messages between the daemons of a fleet.
 
 use crate::{
-    common::*, decision::mesh::instance_choice::LoadReport, mesh::store_interface::StoreItem,
+    common::*,
+    decision::mesh::{instance_choice::LoadReport, load_summary::LoadSummary},
+    mesh::store_interface::StoreItem,
 };
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Largest message, in bytes: the largest body that the platform allows and a head.
 pub const MAX_FRAME_BYTES: usize = 80 << 20;
 
+/// Class level of the calls of admitted work at the gate; root requests have higher levels.
+pub const NESTED_CLASS: u8 = 0;
+
 /// Bytes of the length in front of each message.
 const LENGTH_BYTES: usize = 4;
 
@@ -43,6 +48,8 @@
     Pong,
     /// What the sender learned from the store.
     News(Arc<Vec<StoreItem>>),
+    /// Load of the sender.
+    Load(Arc<LoadSummary>),
     /// The sender takes no new runs.
     Leaving,
 }
@@ -85,6 +92,8 @@
     pub is_once: bool,
     /// Time that is left when the message is sent, in milliseconds.
     pub budget_ms: u32,
+    /// Longest wait for a slot, in milliseconds, for root requests.
+    pub patience_ms: u32,
     /// Clock of the sender when the message was queued, in microseconds since its start.
     pub sent_us: u64,
     /// Method of the request.
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -245,6 +245,7 @@
             PeerFrame::News(items) => {
                 listener.state.learn(&items);
             }
+            PeerFrame::Load(summary) => listener.state.learn_load(&summary),
             PeerFrame::Leaving => self.set_leaving(true),
             PeerFrame::Hello(_)
             | PeerFrame::Resumed { .. }
--- a/src/subcommand/sidecar.rs
+++ b/src/subcommand/sidecar.rs
@@ -27,7 +27,14 @@
     runtime.block_on(async {
         let stop = stop_signal()?;
         let format = Arc::new(PlatformStore);
-        mesh_daemon::run(settings, context_names::context_headers(), format, stop).await?;
+        mesh_daemon::run(
+            settings,
+            arguments.settings.clone(),
+            context_names::context_headers(),
+            format,
+            stop,
+        )
+        .await?;
         Ok(())
     })
 }
