Count the wait of root requests beyond the mean service time of the gate

Cause: the gate refuses a request that cannot end before its deadline after its mean service time over all routes.

--- a/src/controller/gate_controller.rs
+++ b/src/controller/gate_controller.rs
@@ -90,6 +90,12 @@
         self.tick();
     }
 
+    /// Returns the mean service time of all requests; zero without a measurement.
+    pub fn service_time(&self) -> Duration {
+        let now = self.clock.now();
+        self.state.lock().gate.service_time(now)
+    }
+
     /// Returns the lowest priority that is admitted now.
     pub fn threshold(&self) -> RequestPriority {
         self.state.lock().gate.threshold()
--- a/src/decision/admission/admission_gate.rs
+++ b/src/decision/admission/admission_gate.rs
@@ -205,6 +205,11 @@
         threshold
     }
 
+    /// Returns the mean service time; zero without a measurement.
+    pub fn service_time(&self, now: Instant) -> Duration {
+        self.service_time.mean(now).unwrap_or_default()
+    }
+
     /// Returns the requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -31,8 +31,8 @@
 /// Calls for each run below which a route counts as not calling another.
 const MIN_CALLS: f64 = 0.05;
 
-/// Runs that are needed before the calls of a route are counted.
-const MIN_STARTS: f64 = 3.0;
+/// Runs without calls that are added to the observed ones, so that a few runs prove little.
+const SHRINKING_STARTS: f64 = 10.0;
 
 /// Change of the correction of a service's capacity with each plan.
 const CORRECTION_STEP: f64 = 0.04;
@@ -300,12 +300,12 @@
             cost.0 += count * share;
             cost.1 += count * share * time;
         }
-        if depth >= MAX_DEPTH || starts < MIN_STARTS {
+        if depth >= MAX_DEPTH {
             return;
         }
         let calls = self.calls.get(&route.name).into_iter().flatten();
         for (call, calls) in calls {
-            let per_run = calls / starts;
+            let per_run = calls / (starts + SHRINKING_STARTS);
             if per_run >= MIN_CALLS
                 && let Some(called) = table.by_name(call)
             {
--- a/src/decision/mesh/call_counts.rs
+++ b/src/decision/mesh/call_counts.rs
@@ -13,8 +13,9 @@
     },
 };
 
-/// Calls per run second of a route without evidence, as a prior.
-const PRIOR_RATE: f64 = 1.0;
+/// Calls per run second of a route without evidence, as a prior. A high prior would attribute calls of
+/// busy routes to rare ones that happen to run beside them.
+const PRIOR_RATE: f64 = 0.3;
 
 /// Run seconds that the prior weighs as much as.
 const PRIOR_EXPOSURE: f64 = 0.2;
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -225,9 +225,10 @@
         if call.class == NESTED_CLASS {
             return deadline;
         }
-        let mean = self.times.lock().mean(&call.route).unwrap_or_default();
+        // The gate refuses requests that could not end before their deadline after a mean service
+        // time, so that time comes on top of the wait.
         let patience = Duration::from_millis(call.patience_ms.into());
-        deadline.min(self.clock.now() + patience + mean)
+        deadline.min(self.clock.now() + patience + self.gate.service_time())
     }
 
     async fn exchange(
