--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -34,12 +34,20 @@
 /// Runs without calls that are added to the observed ones, so that a few runs prove little.
 const SHRINKING_STARTS: f64 = 10.0;
 
-/// Change of the correction of a service's capacity with each plan.
-const CORRECTION_STEP: f64 = 0.04;
+/// Least factor on the correction of a service's capacity in one plan. Load reports lag behind the
+/// effect of a plan, so that a larger step would overshoot.
+const MAX_FALL: f64 = 0.9;
+
+/// Rise of the correction in one plan while a service has free slots.
+const CORRECTION_RISE: f64 = 0.03;
 
 /// Least correction of a service's capacity.
 const MIN_CORRECTION: f64 = 0.5;
 
+/// Share of each route's requests that is admitted before the order of priority counts, so that no kind
+/// of request is shut out.
+const LEAST_SHARE: f64 = 0.1;
+
 /// Runs of one service that one request of a route causes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceCost {
@@ -183,41 +191,25 @@
         let mut priorities: Vec<u8> = table.routes().map(|route| route.priority).collect();
         priorities.sort_unstable();
         priorities.dedup();
-        for priority in priorities {
-            let names: Vec<SmolStr> = table
-                .routes()
-                .filter(|route| route.priority == priority)
-                .map(|route| route.name.clone())
-                .filter(|name| !plan.routes[name].is_nested)
-                .collect();
-            let rate = |name: &SmolStr| sums.entries.get(name).map_or(0.0, |entry| entry.rate);
-            let mut demand = IndexMap::<SmolStr, f64>::new();
-            for name in &names {
-                for cost in &plan.routes[name].costs {
-                    *demand.entry(cost.service.clone()).or_default() +=
-                        rate(name) * cost.slot_seconds;
-                }
-            }
-            let fitting: IndexMap<SmolStr, f64> = demand
-                .iter()
-                .filter_map(|(service, demand)| {
-                    let room = free.get(service)?.max(0.0);
-                    (*demand > room).then(|| (service.clone(), room / demand))
-                })
-                .collect();
-            for name in &names {
-                let route = &mut plan.routes[name];
-                let shares = route.costs.iter();
-                route.share = shares
-                    .filter_map(|cost| fitting.get(&cost.service))
-                    .copied()
-                    .fold(1.0, f64::min);
-                for cost in &route.costs {
-                    if let Some(free) = free.get_mut(&cost.service) {
-                        *free -= rate(name) * cost.slot_seconds * route.share;
-                    }
-                }
-            }
+        let groups: Vec<Vec<SmolStr>> = priorities
+            .iter()
+            .map(|priority| {
+                table
+                    .routes()
+                    .filter(|route| route.priority == *priority)
+                    .map(|route| route.name.clone())
+                    .filter(|name| !plan.routes[name].is_nested)
+                    .collect()
+            })
+            .collect();
+        for route in plan.routes.values_mut().filter(|route| !route.is_nested) {
+            route.share = 0.0;
+        }
+        for group in &groups {
+            sums.raise_shares(group, LEAST_SHARE, &mut free, plan);
+        }
+        for group in &groups {
+            sums.raise_shares(group, 1.0, &mut free, plan);
         }
     }
 
@@ -227,14 +219,12 @@
         for (service, slots) in &sums.capacity {
             let correction = self.corrections.entry(service.clone()).or_insert(1.0);
             let used = sums.in_use.get(service).copied().unwrap_or(0.0);
-            let step = if used > *slots {
-                -CORRECTION_STEP
+            if used > *slots {
+                *correction *= (slots / used).max(MAX_FALL);
             } else if used < slots * PLANNED_USE {
-                CORRECTION_STEP / 2.0
-            } else {
-                0.0
-            };
-            *correction = (*correction + step).clamp(MIN_CORRECTION, 1.0);
+                *correction += CORRECTION_RISE;
+            }
+            *correction = correction.clamp(MIN_CORRECTION, 1.0);
         }
     }
 
@@ -270,6 +260,47 @@
 }
 
 impl FleetSums {
+    /// Raises the shares of routes of equal rank up to `limit` as far as the services have room.
+    fn raise_shares(
+        &self,
+        names: &[SmolStr],
+        limit: f64,
+        free: &mut IndexMap<SmolStr, f64>,
+        plan: &mut AdmissionPlan,
+    ) {
+        let rate = |name: &SmolStr| self.entries.get(name).map_or(0.0, |entry| entry.rate);
+        let mut demand = IndexMap::<SmolStr, f64>::new();
+        for name in names {
+            let route = &plan.routes[name];
+            let wanted = rate(name) * (limit - route.share).max(0.0);
+            for cost in &route.costs {
+                *demand.entry(cost.service.clone()).or_default() += wanted * cost.slot_seconds;
+            }
+        }
+        let fitting: IndexMap<SmolStr, f64> = demand
+            .iter()
+            .filter_map(|(service, demand)| {
+                let room = free.get(service)?.max(0.0);
+                (*demand > room).then(|| (service.clone(), room / demand))
+            })
+            .collect();
+        for name in names {
+            let route = &mut plan.routes[name];
+            let shares = route.costs.iter();
+            let fraction = shares
+                .filter_map(|cost| fitting.get(&cost.service))
+                .copied()
+                .fold(1.0, f64::min);
+            let raise = (limit - route.share).max(0.0) * fraction;
+            route.share += raise;
+            for cost in &route.costs {
+                if let Some(free) = free.get_mut(&cost.service) {
+                    *free -= rate(name) * raise * cost.slot_seconds;
+                }
+            }
+        }
+    }
+
     /// Returns whether only backend servers call a route. Clients use all machines, while the
     /// services at the end of the call graph make no calls; so a route that never enters at the
     /// machines of some service is not used by clients.
--- a/src/decision/mesh/call_counts.rs
+++ b/src/decision/mesh/call_counts.rs
@@ -17,6 +17,11 @@
 /// busy routes to rare ones that happen to run beside them.
 const PRIOR_RATE: f64 = 0.3;
 
+/// Share of a call below which a route counts as an unlikely sender. Routes that always run side by
+/// side look alike to the estimate; without this rule a rare route keeps its share of calls that it
+/// never makes.
+const MINOR_SHARE: f64 = 0.25;
+
 /// Run seconds that the prior weighs as much as.
 const PRIOR_EXPOSURE: f64 = 0.2;
 
@@ -116,7 +121,10 @@
         if total <= 0.0 {
             return;
         }
+        let discount = |weight: f64| weight * (weight / total / MINOR_SHARE).min(1.0);
+        let total: f64 = weights.iter().map(|(_, weight)| discount(*weight)).sum();
         for (run, weight) in weights {
+            let weight = discount(weight);
             self.calls
                 .entry((run, route.clone()))
                 .or_insert_with(|| DecayedCount::new(now))
--- a/src/mesh/context_headers.rs
+++ b/src/mesh/context_headers.rs
@@ -11,6 +11,8 @@
     pub signature: &'static str,
     /// Id of the only instance that may run the request.
     pub expected_instance: &'static str,
+    /// Id of the instance that answers.
+    pub instance: &'static str,
     /// Marks an answer to a request that was not run.
     pub not_executed: &'static str,
     /// Time after which a refused caller may come back, in seconds.
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -58,6 +58,8 @@
     pool: BackendPool,
     times: Mutex<LatencyBook>,
     counts: Mutex<CallCounts>,
+    /// Id of the own backend server, as published or as it says itself.
+    identity: Mutex<Option<SmolStr>>,
     is_leaving: AtomicBool,
 }
 
@@ -80,12 +82,20 @@
             pool: BackendPool::new(backend),
             times: Mutex::default(),
             counts: Mutex::default(),
+            identity: Mutex::default(),
             is_leaving: AtomicBool::new(false),
         }
     }
 
-    /// Sets the number of requests that the backend server processes at once.
-    pub fn set_slots(&self, slots: u32) {
+    /// Follows the published entry of the own backend server.
+    pub fn set_entry(&self, id: &SmolStr, slots: u32) {
+        *self.identity.lock() = Some(id.clone());
+        self.gate.set_limits(gate_limits(slots));
+    }
+
+    /// Sets the slots that backend servers of the own service have, as long as the own entry is not
+    /// known.
+    pub fn set_usual_slots(&self, slots: u32) {
         self.gate.set_limits(gate_limits(slots));
     }
 
@@ -237,7 +247,9 @@
         call: &CallFrame,
         left: Duration,
     ) -> Result<ServerResponse, ExchangeError> {
-        let request = self.request_bytes(call, left);
+        let expected = self.identity.lock().clone();
+        let expected = expected.as_ref().unwrap_or(&call.instance);
+        let request = self.request_bytes(call, expected, left);
         let attempt = self.headers.attempt;
         // An answer without an identifier can only be one that tells that nothing was run.
         let is_own = |head: &ResponseHead| {
@@ -253,13 +265,13 @@
         Ok(response)
     }
 
-    fn request_bytes(&self, call: &CallFrame, left: Duration) -> BytesMut {
+    fn request_bytes(&self, call: &CallFrame, expected: &str, left: Duration) -> BytesMut {
         let mut request = BytesMut::with_capacity(call.head.len() + call.body.len() + 128);
         request.extend_from_slice(&call.head);
         let deadline_ms = left.as_millis();
         let lines = format!(
-            "{}: {deadline_ms}\r\n{}: {}\r\n",
-            self.headers.deadline_ms, self.headers.expected_instance, call.instance
+            "{}: {deadline_ms}\r\n{}: {expected}\r\n",
+            self.headers.deadline_ms, self.headers.expected_instance
         );
         request.extend_from_slice(lines.as_bytes());
         let has_body = !call.body.is_empty() || matches!(call.method.as_str(), "POST" | "PUT");
@@ -277,6 +289,11 @@
         let ServerResponse { head, body, .. } = response;
         let headers = &head.headers;
         if head.status == 421 {
+            // The backend server started anew, and its entry is not known yet.
+            if let Some(id) = headers.text(self.headers.instance) {
+                log::info!("executor: The backend server is {id} now.");
+                *self.identity.lock() = Some(id.into());
+            }
             return RunEnd::NotRun(NotRunReason::OtherInstance);
         }
         if headers.get(self.headers.not_executed).is_some() {
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -348,9 +348,17 @@
         self.choice.lock().update(&view, now);
         let own = view
             .members()
-            .find(|(_, entry)| entry.address == self.settings.backend);
-        if let Some((_, entry)) = own {
-            self.executor.set_slots(entry.slots);
+            .filter(|(_, entry)| entry.address == self.settings.backend)
+            .max_by_key(|(_, entry)| entry.born_ms);
+        match own {
+            Some((id, entry)) => self.executor.set_entry(id, entry.slots),
+            None => {
+                let mut members = view.members();
+                let usual = members.find(|(_, entry)| entry.service == self.settings.service);
+                if let Some((_, entry)) = usual {
+                    self.executor.set_usual_slots(entry.slots);
+                }
+            }
         }
     }
 }
--- a/src/platform/context_names.rs
+++ b/src/platform/context_names.rs
@@ -10,6 +10,7 @@
         // The platform's name suggests a digest of the content; it names the run that made the answer.
         signature: "Server-Signature",
         expected_instance: "Expect-Instance",
+        instance: "Instance-Id",
         not_executed: "Not-Executed",
         retry_after_s: "Retry-After",
         caller_service: "Caller-Service",
