Keep the id that the backend server states and ask it again under that id

Backend servers had started anew under new ids. Each change of any entry put the stale published id back in place of the one that the 421 had told, and the senders shut the instance out for 8 s.

Change: the published id replaces the stated one only when it changes; a 421 that tells a new id leads to one more send there; senders do not shut out.

--- a/src/decision/mesh/instance_choice.rs
+++ b/src/decision/mesh/instance_choice.rs
@@ -91,9 +91,9 @@
 pub enum AttemptEnd {
     /// The backend server answered.
     Answered,
-    /// The gate of the instance had no room.
+    /// The gate of the instance had no room, or the instance has another id by now.
     Busy,
-    /// The daemon of the instance ends, or the instance has another id by now.
+    /// The daemon of the instance ends.
     Leaving,
     /// The backend server or the connection failed.
     Failed,
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -469,8 +469,10 @@
         RunEnd::Answered(answer) if answer.status < 500 => AttemptEnd::Answered,
         RunEnd::Answered(_) | RunEnd::Unknown(_) => AttemptEnd::Failed,
         RunEnd::NotRun(reason) => match reason {
-            NotRunReason::Busy | NotRunReason::Expired => AttemptEnd::Busy,
-            NotRunReason::Leaving | NotRunReason::OtherInstance => AttemptEnd::Leaving,
+            NotRunReason::Busy | NotRunReason::Expired | NotRunReason::OtherInstance => {
+                AttemptEnd::Busy
+            }
+            NotRunReason::Leaving => AttemptEnd::Leaving,
             NotRunReason::Refused | NotRunReason::Unreachable => AttemptEnd::Failed,
         },
     }
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -58,8 +58,7 @@
     pool: BackendPool,
     times: Mutex<LatencyBook>,
     counts: Mutex<CallCounts>,
-    /// Id of the own backend server, as published or as it says itself.
-    identity: Mutex<Option<SmolStr>>,
+    identity: Mutex<BackendIdentity>,
     is_leaving: AtomicBool,
 }
 
@@ -89,7 +88,7 @@
 
     /// Follows the published entry of the own backend server.
     pub fn set_entry(&self, id: &SmolStr, slots: u32) {
-        *self.identity.lock() = Some(id.clone());
+        self.identity.lock().publish(id);
         self.gate.set_limits(gate_limits(slots));
     }
 
@@ -154,7 +153,19 @@
         }
     }
 
+    /// Runs a request. If the backend server turns out to have another id, it is asked once more: the
+    /// daemon serves one backend server only, and that one belongs to the right service.
     async fn run(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
+        let known = self.identity.lock().clone();
+        let end = self.run_once(call, deadline).await;
+        let is_renamed = *self.identity.lock() != known;
+        if end == RunEnd::NotRun(NotRunReason::OtherInstance) && is_renamed {
+            return self.run_once(call, deadline).await;
+        }
+        end
+    }
+
+    async fn run_once(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
         if call.service != self.service {
             return RunEnd::NotRun(NotRunReason::OtherInstance);
         }
@@ -180,9 +191,10 @@
         if started >= deadline {
             return RunEnd::NotRun(NotRunReason::Expired);
         }
+        let expected = self.identity.lock().expected(&call.instance);
         let mut run = CountedRun::start(self, &call.route);
         let limit = deadline + ANSWER_GRACE;
-        let exchange = self.exchange(connection, call, deadline - started);
+        let exchange = self.exchange(connection, call, &expected, deadline - started);
         let Ok(result) = timeout_at(limit.into(), exchange).await else {
             return RunEnd::Unknown(UnknownReason::Timeout);
         };
@@ -245,10 +257,9 @@
         &self,
         mut connection: ClientConnection,
         call: &CallFrame,
+        expected: &SmolStr,
         left: Duration,
     ) -> Result<ServerResponse, ExchangeError> {
-        let expected = self.identity.lock().clone();
-        let expected = expected.as_ref().unwrap_or(&call.instance);
         let request = self.request_bytes(call, expected, left);
         let attempt = self.headers.attempt;
         // An answer without an identifier can only be one that tells that nothing was run.
@@ -292,7 +303,7 @@
             // The backend server started anew, and its entry is not known yet.
             if let Some(id) = headers.text(self.headers.instance) {
                 log::info!("executor: The backend server is {id} now.");
-                *self.identity.lock() = Some(id.into());
+                self.identity.lock().learn(id);
             }
             return RunEnd::NotRun(NotRunReason::OtherInstance);
         }
@@ -327,6 +338,33 @@
     }
 }
 
+/// Id of the own backend server.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct BackendIdentity {
+    published: Option<SmolStr>,
+    current: Option<SmolStr>,
+}
+
+impl BackendIdentity {
+    /// Follows the published id. An unchanged one does not replace what the backend server said.
+    fn publish(&mut self, id: &SmolStr) {
+        if self.published.as_ref() != Some(id) {
+            self.published = Some(id.clone());
+            self.current = Some(id.clone());
+        }
+    }
+
+    /// Takes the id that the backend server says itself.
+    fn learn(&mut self, id: &str) {
+        self.current = Some(id.into());
+    }
+
+    /// Returns the id to expect; `asked` is what the sender of a request believes.
+    fn expected(&self, asked: &SmolStr) -> SmolStr {
+        self.current.as_ref().unwrap_or(asked).clone()
+    }
+}
+
 /// Counts a run as in flight until it is dropped.
 struct CountedRun<'a> {
     executor: &'a Executor,
