--- a/src/decision/mesh/instance_choice.rs
+++ b/src/decision/mesh/instance_choice.rs
@@ -219,6 +219,14 @@
         })
     }
 
+    /// Returns whether a service has a sound instance that is not in `tried`.
+    pub fn has_other(&self, service: &str, tried: &[InstanceKey], now: Instant) -> bool {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter(|key| !tried.contains(key))
+            .map(|key| &self.instances[*key])
+            .any(|state| state.is_serving(now) && !state.is_doubtful(now))
+    }
+
     /// Records the end of an attempt.
     pub fn finish(&mut self, key: InstanceKey, end: AttemptEnd, now: Instant) {
         let Some(state) = self.instances.get_mut(key) else {
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -38,9 +38,12 @@
 /// one that was not is refused as such.
 const VERDICT_TIME: Duration = Duration::from_millis(60);
 
-/// Part of the latency target that a root request may wait for a slot, as a divisor. A refusal up to an
-/// eighth of the target leaves the caller time to come back.
-const PATIENCE_DIVISOR: u32 = 8;
+/// Part of the latency target that a root request may wait for a slot where no other instance is left to
+/// ask, as a divisor. A caller refused by then has time to come back.
+const PATIENCE_DIVISOR: u32 = 4;
+
+/// Time that a root request waits for a slot while other instances are left to ask.
+const SHORT_PATIENCE: Duration = Duration::from_millis(4);
 
 /// Part of the caller's time after which a refused request is worth sending again at the latest.
 const RETURN_SHARE: f64 = 0.33;
@@ -219,7 +222,14 @@
                 }
             }
             history.tried.push(instance.key);
-            match self.attempt(request, &instance).await {
+            let is_last = history.refusals + 1 >= MAX_REFUSALS
+                || !state.choice.lock().has_other(service, &history.tried, now);
+            let patience = if is_last {
+                request.route.latency_target / PATIENCE_DIVISOR
+            } else {
+                SHORT_PATIENCE
+            };
+            match self.attempt(request, &instance, patience).await {
                 Some(end) => {
                     if let Some(answer) = history.record(end, request) {
                         return answer;
@@ -263,13 +273,14 @@
         &self,
         request: &EnteredRequest<'_>,
         instance: &ChosenInstance,
+        patience: Duration,
     ) -> Option<CallEnd> {
         let mut guard = AttemptGuard {
             state: &self.state,
             key: instance.key,
             end: AttemptEnd::Abandoned,
         };
-        let frame = self.call_frame(request, instance);
+        let frame = self.call_frame(request, instance, patience);
         let calling = async {
             if instance.address.ip() == self.state.settings.peer.ip() {
                 let reply = self.state.executor.reply(&frame, request.limit).await;
@@ -308,7 +319,12 @@
         choice.set_report(instance.key, reply.load, time, now);
     }
 
-    fn call_frame(&self, request: &EnteredRequest<'_>, instance: &ChosenInstance) -> CallFrame {
+    fn call_frame(
+        &self,
+        request: &EnteredRequest<'_>,
+        instance: &ChosenInstance,
+        patience: Duration,
+    ) -> CallFrame {
         let left = request
             .limit
             .saturating_duration_since(self.state.clock.now());
@@ -325,7 +341,7 @@
             },
             rank: (xxh3_64(&request.attempt) >> 48) as u16,
             is_repeat: false,
-            patience_ms: (request.route.latency_target / PATIENCE_DIVISOR).as_millis() as u32,
+            patience_ms: patience.as_millis() as u32,
             is_once: request.route.rule == RunRule::Once,
             budget_ms: left.as_millis() as u32,
             sent_us: self.state.uptime_us(),
