Send root requests to free slots first and plan nearer to the slots

Change: instances without a free slot come last for root requests; the plan uses 0.9 of the slots with a correction up to 1.2; the budget grows over the first window and keeps 0.3 of the bound for repeats whose cost is underestimated.

--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -16,7 +16,7 @@
 const SUMMARY_LIFETIME: Duration = Duration::from_secs(4);
 
 /// Share of the slots that is planned. The rest absorbs the variation of arrivals and of work.
-const PLANNED_USE: f64 = 0.85;
+const PLANNED_USE: f64 = 0.9;
 
 /// Requests of a route that would be expected at the machines of a service, and that are all missing
 /// there, before the route counts as one that only backend servers call.
@@ -44,6 +44,9 @@
 /// Least correction of a service's capacity.
 const MIN_CORRECTION: f64 = 0.5;
 
+/// Largest correction: a plan that leaves slots free overestimates the cost of requests.
+const MAX_CORRECTION: f64 = 1.2;
+
 /// Share of each route's requests that is admitted before the order of priority counts, so that no kind
 /// of request is shut out.
 const LEAST_SHARE: f64 = 0.1;
@@ -224,7 +227,7 @@
             } else if used < slots * PLANNED_USE {
                 *correction += CORRECTION_RISE;
             }
-            *correction = correction.clamp(MIN_CORRECTION, 1.0);
+            *correction = correction.clamp(MIN_CORRECTION, MAX_CORRECTION);
         }
     }
 
--- a/src/decision/mesh/attempt_budget.rs
+++ b/src/decision/mesh/attempt_budget.rs
@@ -25,11 +25,12 @@
     }
 }
 
-/// Part of the bound that each daemon derives from the requests that enter at itself.
-const OWN_SHARE: f64 = 0.4;
+/// Part of the bound that each daemon derives from the requests that enter at itself. Both parts leave
+/// a rest for repeats whose costs are underestimated.
+const OWN_SHARE: f64 = 0.35;
 
 /// Part of the bound that all daemons split evenly.
-const EVEN_SHARE: f64 = 0.4;
+const EVEN_SHARE: f64 = 0.35;
 
 /// Slots into which a window is divided for counting.
 const SLOTS: u32 = 10;
@@ -45,14 +46,17 @@
 #[derive(Debug)]
 pub struct AttemptBudget {
     bounds: BudgetBounds,
+    started: Instant,
     services: IndexMap<SmolStr, VecDeque<CountSlot>>,
 }
 
 impl AttemptBudget {
-    /// Creates an empty budget.
-    pub fn new(bounds: BudgetBounds) -> Self {
+    /// Creates an empty budget. What the daemon spent before its start is not known, so that its share
+    /// grows over the first window.
+    pub fn new(bounds: BudgetBounds, now: Instant) -> Self {
         Self {
             bounds,
+            started: now,
             services: IndexMap::new(),
         }
     }
@@ -96,7 +100,9 @@
         let bounds = self.bounds;
         let fleet = bounds.ratio * rate * bounds.window_s + bounds.slack;
         let even = EVEN_SHARE * fleet / daemons.max(1) as f64;
-        repeats + cost.runs <= OWN_SHARE * bounds.ratio * requests + even
+        let age = now.saturating_duration_since(self.started).as_secs_f64();
+        let grown = (age / bounds.window_s).min(1.0);
+        repeats + cost.runs <= grown * (OWN_SHARE * bounds.ratio * requests + even)
     }
 
     fn slot(&mut self, service: &SmolStr, now: Instant) -> &mut CountSlot {
--- a/src/decision/mesh/instance_choice.rs
+++ b/src/decision/mesh/instance_choice.rs
@@ -180,12 +180,14 @@
     }
 
     /// Chooses the instance with the least expected time that is not in `tried`, and counts the
-    /// attempt. Instances that failed or were full lately come last.
+    /// attempt. Instances that failed or were full lately come last, and with `needs_slot` those
+    /// that seem to have no free slot, too.
     pub fn choose(
         &mut self,
         service: &str,
         route: &str,
         tried: &[InstanceKey],
+        needs_slot: bool,
         now: Instant,
     ) -> Option<ChosenInstance> {
         let keys = self.by_service.get(service)?;
@@ -200,7 +202,7 @@
             let noise = 1.0 + NOISE * self.rng.random::<f64>();
             let state = &self.instances[key];
             let cost = noise * state.expected_time(route, fallback, &self.data_centre, now);
-            let is_doubtful = state.is_doubtful(now);
+            let is_doubtful = state.is_doubtful(now) || (needs_slot && state.is_full(now));
             let is_better = best.is_none_or(|(best_doubtful, best_cost, _)| {
                 (is_doubtful, cost) < (best_doubtful, best_cost)
             });
@@ -318,6 +320,26 @@
             || self.busy_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the requests that the instance probably holds.
+    fn load(&self, now: Instant) -> u32 {
+        match self.fresh_report(now) {
+            Some(report) => report.in_flight + report.queued + self.sent_since_report,
+            None => self.own_calls,
+        }
+    }
+
+    fn is_full(&self, now: Instant) -> bool {
+        let limit = self
+            .fresh_report(now)
+            .map_or(self.entry.slots, |report| report.limit);
+        self.load(now) >= limit
+    }
+
+    fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
+        let (report, at) = self.report?;
+        (now.saturating_duration_since(at) < REPORT_LIFETIME).then_some(report)
+    }
+
     /// Returns the expected time until the answer in seconds.
     fn expected_time(&self, route: &str, fallback: f64, data_centre: &str, now: Instant) -> f64 {
         let mean = self.times.mean(route);
@@ -329,15 +351,7 @@
             time *= REMOTE_FACTOR;
         }
         let slots = f64::from(self.entry.slots.max(1));
-        let fresh = self
-            .report
-            .filter(|(_, at)| now.saturating_duration_since(*at) < REPORT_LIFETIME);
-        let load = match fresh {
-            Some((report, _)) => {
-                f64::from(report.in_flight + report.queued + self.sent_since_report)
-            }
-            None => f64::from(self.own_calls),
-        };
+        let load = f64::from(self.load(now));
         // A free slot serves at once; a fuller instance is a little worse, so that equal ones
         // share the load, and beyond the slots requests wait.
         let use_of_slots = load / slots;
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -202,10 +202,11 @@
                 return history.end(OwnAnswer::Expired);
             }
             let (service, route) = (&request.service, &request.route.name);
-            let chosen = state
-                .choice
-                .lock()
-                .choose(service, route, &history.tried, now);
+            let chosen =
+                state
+                    .choice
+                    .lock()
+                    .choose(service, route, &history.tried, !request.is_nested, now);
             let Some(instance) = chosen else {
                 return history.end(if history.refusals > 0 {
                     OwnAnswer::Busy
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -95,7 +95,7 @@
             started: clock.now(),
             choice: Mutex::new(choice),
             spread: Mutex::new(WeightedSpread::new(rand::random())),
-            budget: Mutex::new(AttemptBudget::new(settings.budget)),
+            budget: Mutex::new(AttemptBudget::new(settings.budget, clock.now())),
             admission: Mutex::default(),
             planner: Mutex::default(),
             plan: Mutex::default(),
