Start no work whose calls cannot be reached; tell clients of isolated daemons

Change: a daemon refuses requests at the entry and at the executor if a service below cannot be reached from it; instances that cannot be reached are not chosen; a daemon that reaches less than a fifth of the instances is not ready; failures do not count as service times.

--- a/src/decision/mesh/instance_choice.rs
+++ b/src/decision/mesh/instance_choice.rs
@@ -55,6 +55,13 @@
 /// Factor on the service time of a cold instance.
 const COLD_FACTOR: f64 = 2.0;
 
+/// Fewest known instances of which a daemon can tell that it is isolated.
+const MIN_ISOLATED: usize = 5;
+
+/// Share of reachable instances below which a daemon is isolated. A daemon in a data centre that is cut
+/// off still reaches the instances there.
+const ISOLATED_SHARE: f64 = 0.2;
+
 /// Relative noise on the estimates, so that daemons with equal views choose differently.
 const NOISE: f64 = 0.1;
 
@@ -170,13 +177,17 @@
         }
     }
 
-    /// Returns whether a service has a member that may get work.
-    pub fn has_members(&self, service: &str) -> bool {
-        let keys = self.by_service.get(service);
-        keys.is_some_and(|keys| {
-            keys.iter()
-                .any(|key| self.instances[*key].entry.state == ServingState::Ready)
-        })
+    /// Returns whether a service has an instance that can be reached and takes work.
+    pub fn can_reach(&self, service: &str, now: Instant) -> bool {
+        let mut keys = self.by_service.get(service).into_iter().flatten();
+        keys.any(|key| self.instances[*key].is_serving(now))
+    }
+
+    /// Returns whether nearly all other machines cannot be reached.
+    pub fn is_isolated(&self) -> bool {
+        let known = self.instances.len();
+        let reached = self.instances.values().filter(|state| !state.unreachable);
+        known >= MIN_ISOLATED && (reached.count() as f64) < ISOLATED_SHARE * known as f64
     }
 
     /// Chooses the instance with the least expected time that is not in `tried`, and counts the
@@ -311,12 +322,12 @@
 impl InstanceState {
     fn is_serving(&self, now: Instant) -> bool {
         self.entry.state == ServingState::Ready
+            && !self.unreachable
             && self.leaving_until.is_none_or(|until| until <= now)
     }
 
     fn is_doubtful(&self, now: Instant) -> bool {
-        self.unreachable
-            || self.ejected_until.is_some_and(|until| now < until)
+        self.ejected_until.is_some_and(|until| now < until)
             || self.busy_until.is_some_and(|until| now < until)
     }
 
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -149,6 +149,9 @@
         let plan = self.state.plan();
         let is_nested = plan.route(&route.name).is_some_and(|plan| plan.is_nested);
         self.state.executor.count_entry(&route.name, is_nested);
+        if !self.state.can_complete(&route.name) {
+            return Err(own_end(OwnAnswer::NoInstance));
+        }
         if !is_nested && !self.is_admitted(request, route, &plan) {
             return Err(own_end(OwnAnswer::Shed));
         }
@@ -486,9 +489,10 @@
         RunEnd::Answered(answer) if answer.status < 500 => AttemptEnd::Answered,
         RunEnd::Answered(_) | RunEnd::Unknown(_) => AttemptEnd::Failed,
         RunEnd::NotRun(reason) => match reason {
-            NotRunReason::Busy | NotRunReason::Expired | NotRunReason::OtherInstance => {
-                AttemptEnd::Busy
-            }
+            NotRunReason::Busy
+            | NotRunReason::Cut
+            | NotRunReason::Expired
+            | NotRunReason::OtherInstance => AttemptEnd::Busy,
             NotRunReason::Leaving => AttemptEnd::Leaving,
             NotRunReason::Refused | NotRunReason::Unreachable => AttemptEnd::Failed,
         },
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -153,6 +153,16 @@
         }
     }
 
+    /// Describes a refusal without a run.
+    pub fn refusal(&self, number: u64, reason: NotRunReason) -> ReplyFrame {
+        ReplyFrame {
+            number,
+            end: RunEnd::NotRun(reason),
+            load: self.load(),
+            service_time_us: None,
+        }
+    }
+
     /// Runs a request. If the backend server turns out to have another id, it is asked once more: the
     /// daemon serves one backend server only, and that one belongs to the right service.
     async fn run(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
@@ -214,6 +224,8 @@
             }
         };
         let result = match &end {
+            // Failures are often quick; as service times they would draw load to a failing instance.
+            RunEnd::Answered(answer) if answer.status >= 500 => WorkResult::Completed,
             RunEnd::Answered(_) => {
                 run.time = Some(now - started);
                 self.times.lock().record(&call.route, now - started);
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -119,9 +119,26 @@
         self.routes.lock().clone()
     }
 
-    /// Returns whether the daemon has what it needs to serve.
+    /// Returns whether the daemon has what it needs to serve. Clients of an isolated daemon are better
+    /// served by another.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.routes.lock().is_some() && !self.view.lock().is_empty()
+        !self.is_leaving()
+            && self.routes.lock().is_some()
+            && !self.view.lock().is_empty()
+            && !self.choice.lock().is_isolated()
+    }
+
+    /// Returns whether all services that the runs of a route call can be reached from here. Work that
+    /// cannot be completed is not started.
+    pub fn can_complete(&self, route: &str) -> bool {
+        let plan = self.plan();
+        let Some(planned) = plan.route(route) else {
+            return true;
+        };
+        let now = self.clock.now();
+        let choice = self.choice.lock();
+        let mut services = planned.costs.iter().map(|cost| &cost.service);
+        services.all(|service| *service == self.settings.service || choice.can_reach(service, now))
     }
 
     /// Returns whether the daemon was asked to end.
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -39,7 +39,7 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval at which unreachable daemons are tried again.
-const PROBE_INTERVAL: Duration = Duration::from_millis(600);
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Shortest interval at which daemons tell each other their load.
 const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(400);
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -148,6 +148,8 @@
     Busy,
     /// The daemon ends.
     Leaving,
+    /// Services that the run would call cannot be reached from the machine.
+    Cut,
     /// Another instance serves at the address.
     OtherInstance,
     /// The time is used up.
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -5,7 +5,7 @@
     decision::mesh::run_table::{ResumedRun, RunId, RunTable},
     mesh::{
         fleet_state::FleetState,
-        peer_frame::{CallFrame, HelloFrame, PeerFrame, ReplyFrame, RunEnd},
+        peer_frame::{CallFrame, HelloFrame, NotRunReason, PeerFrame, ReplyFrame, RunEnd},
     },
 };
 use bytes::BytesMut;
@@ -115,7 +115,12 @@
         // The lock is held until the task is known, so that it cannot end before.
         let mut tasks = self.tasks.lock();
         let task = tokio::spawn(async move {
-            let reply = listener.state.executor.reply(&call, deadline).await;
+            let state = &listener.state;
+            let reply = if state.can_complete(&call.route) {
+                state.executor.reply(&call, deadline).await
+            } else {
+                state.executor.refusal(call.number, NotRunReason::Cut)
+            };
             listener.finish(id, reply);
         });
         tasks.insert(id, task.abort_handle());
