Send requests on from full gates; find silent daemons within half a second

Calls over links into a cut-off data centre waited 0.8 s for the silence limit, so that up to 208 a second ended at the timeout of their route.

Change: such refusals count as busy; links check every 120 ms and give up after 400 ms; instances whose load messages stay away are chosen last.

--- a/src/decision/mesh/instance_choice.rs
+++ b/src/decision/mesh/instance_choice.rs
@@ -55,6 +55,9 @@
 /// Factor on the service time of a cold instance.
 const COLD_FACTOR: f64 = 2.0;
 
+/// Load messages that a daemon may miss before it counts as doubtful.
+const MISSED_MESSAGES: u32 = 3;
+
 /// Fewest known instances of which a daemon can tell that it is isolated.
 const MIN_ISOLATED: usize = 5;
 
@@ -79,6 +82,7 @@
     busy_until: Option<Instant>,
     leaving_until: Option<Instant>,
     unreachable: bool,
+    heard: Option<Instant>,
     cold_until: Instant,
 }
 
@@ -114,6 +118,7 @@
     data_centre: SmolStr,
     instances: SlotMap<InstanceKey, InstanceState>,
     by_service: IndexMap<SmolStr, Vec<InstanceKey>>,
+    silence_limit: Duration,
     rng: Pcg64Mcg,
 }
 
@@ -124,6 +129,7 @@
             data_centre,
             instances: SlotMap::with_key(),
             by_service: IndexMap::new(),
+            silence_limit: Duration::MAX,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -162,6 +168,7 @@
                         busy_until: None,
                         leaving_until: None,
                         unreachable: false,
+                        heard: None,
                         cold_until,
                     });
                 }
@@ -213,7 +220,8 @@
             let noise = 1.0 + NOISE * self.rng.random::<f64>();
             let state = &self.instances[key];
             let cost = noise * state.expected_time(route, fallback, &self.data_centre, now);
-            let is_doubtful = state.is_doubtful(now) || (needs_slot && state.is_full(now));
+            let is_doubtful =
+                state.is_doubtful(self.silence_limit, now) || (needs_slot && state.is_full(now));
             let is_better = best.is_none_or(|(best_doubtful, best_cost, _)| {
                 (is_doubtful, cost) < (best_doubtful, best_cost)
             });
@@ -237,7 +245,7 @@
         let keys = self.by_service.get(service).into_iter().flatten();
         keys.filter(|key| !tried.contains(key))
             .map(|key| &self.instances[*key])
-            .any(|state| state.is_serving(now) && !state.is_doubtful(now))
+            .any(|state| state.is_serving(now) && !state.is_doubtful(self.silence_limit, now))
     }
 
     /// Records the end of an attempt.
@@ -283,6 +291,21 @@
         }
     }
 
+    /// Sets the interval at which daemons tell their load. One that was heard and then misses
+    /// several messages is probably cut off.
+    pub fn set_load_interval(&mut self, interval: Duration) {
+        self.silence_limit = interval * MISSED_MESSAGES;
+    }
+
+    /// Records that the daemon at an address told its load.
+    pub fn set_heard(&mut self, ip: std::net::IpAddr, now: Instant) {
+        for state in self.instances.values_mut() {
+            if state.entry.address.ip() == ip {
+                state.heard = Some(now);
+            }
+        }
+    }
+
     /// Records whether the daemon at an address can be reached.
     pub fn set_reachable(&mut self, ip: std::net::IpAddr, is_reachable: bool) {
         for state in self.instances.values_mut() {
@@ -326,8 +349,10 @@
             && self.leaving_until.is_none_or(|until| until <= now)
     }
 
-    fn is_doubtful(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
+    fn is_doubtful(&self, silence_limit: Duration, now: Instant) -> bool {
+        let silence = self.heard.map(|at| now.saturating_duration_since(at));
+        silence.is_some_and(|silence| silence > silence_limit)
+            || self.ejected_until.is_some_and(|until| now < until)
             || self.busy_until.is_some_and(|until| now < until)
     }
 
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -184,7 +184,10 @@
         }
         let permit = match self.admit(call, deadline).await {
             Ok(permit) => permit,
-            Err(ShedReason::Deadline) => return RunEnd::NotRun(NotRunReason::Expired),
+            // The gate's deadline can end before that of the request, which then fits elsewhere.
+            Err(ShedReason::Deadline) if self.clock.now() >= deadline => {
+                return RunEnd::NotRun(NotRunReason::Expired);
+            }
             Err(_) => return RunEnd::NotRun(NotRunReason::Busy),
         };
         let connection = match self.pool.take(call.is_once, self.clock.now()).await {
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -152,6 +152,7 @@
         }
         let members = u32::try_from(state.members()).unwrap_or(u32::MAX);
         let interval = MIN_LOAD_INTERVAL.max(LOAD_INTERVAL_PER_DAEMON * members);
+        state.choice.lock().set_load_interval(interval);
         tokio::time::sleep(interval.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
     }
 }
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -13,17 +13,17 @@
 };
 
 /// Longest time to make a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Pause between attempts to connect while runs wait for their result.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Interval at which a connection with runs is checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const CHECK_INTERVAL: Duration = Duration::from_millis(120);
 
 /// Time without a byte after which a connection with runs counts as silent. The peer answers a
 /// sign-of-life request at once, also while its backend server works.
-const SILENCE_LIMIT: Duration = Duration::from_millis(800);
+const SILENCE_LIMIT: Duration = Duration::from_millis(400);
 
 /// Gap between two checks that shows that this process did not run in between.
 const OWN_PAUSE: Duration = Duration::from_millis(600);
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -250,7 +250,13 @@
             PeerFrame::News(items) => {
                 listener.state.learn(&items);
             }
-            PeerFrame::Load(summary) => listener.state.learn_load(&summary),
+            PeerFrame::Load(summary) => {
+                listener.state.learn_load(&summary);
+                if let Some(ip) = self.peer_ip {
+                    let now = listener.state.clock.now();
+                    listener.state.choice.lock().set_heard(ip, now);
+                }
+            }
             PeerFrame::Leaving => self.set_leaving(true),
             PeerFrame::Hello(_)
             | PeerFrame::Resumed { .. }
