--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -38,14 +38,22 @@
 /// effect of a plan, so that a larger step would overshoot.
 const MAX_FALL: f64 = 0.9;
 
-/// Rise of the correction in one plan while a service has free slots.
-const CORRECTION_RISE: f64 = 0.03;
+/// Largest factor on the correction of a service's capacity in one plan.
+const MAX_RISE: f64 = 1.08;
+
+/// Weight of a new load report in the mean use of a service. Runs take up to a second, so that single
+/// reports vary much more than the load.
+const USE_WEIGHT: f64 = 0.4;
 
 /// Least correction of a service's capacity.
-const MIN_CORRECTION: f64 = 0.5;
+const MIN_CORRECTION: f64 = 0.4;
+
+/// Largest correction while requests are refused: the plan then overestimates their cost.
+const MAX_CORRECTION: f64 = 2.0;
 
-/// Largest correction: a plan that leaves slots free overestimates the cost of requests.
-const MAX_CORRECTION: f64 = 1.2;
+/// Largest correction while nothing is refused, so that a surge does not meet a plan that has grown too
+/// generous.
+const MAX_IDLE_CORRECTION: f64 = 1.2;
 
 /// Share of each route's requests that is admitted before the order of priority counts, so that no kind
 /// of request is shut out.
@@ -113,7 +121,15 @@
 #[derive(Debug, Default)]
 pub struct AdmissionPlanner {
     summaries: IndexMap<u64, (LoadSummary, Instant)>,
-    corrections: IndexMap<SmolStr, f64>,
+    corrections: IndexMap<SmolStr, ServiceCorrection>,
+    is_shedding: bool,
+}
+
+/// How the slots of a service are used compared to the plan.
+#[derive(Clone, Copy, Debug)]
+struct ServiceCorrection {
+    factor: f64,
+    mean_use: f64,
 }
 
 /// Sums over all summaries.
@@ -178,6 +194,7 @@
             }
         }
         self.fill(table, &sums, &mut plan);
+        self.is_shedding = plan.is_shedding();
         plan
     }
 
@@ -187,7 +204,7 @@
             .capacity
             .iter()
             .map(|(service, slots)| {
-                let correction = self.corrections.get(service).copied().unwrap_or(1.0);
+                let correction = self.corrections.get(service).map_or(1.0, |c| c.factor);
                 (service.clone(), slots * PLANNED_USE * correction)
             })
             .collect();
@@ -216,18 +233,25 @@
         }
     }
 
-    /// Lowers the capacity of a service whose slots are used up in spite of the plan, and lets it
-    /// rise again.
+    /// Corrects the planned capacity of each service so that the use of its slots approaches the
+    /// planned one. Errors of the learned costs are so made up for.
     fn correct(&mut self, sums: &FleetSums) {
+        let largest = if self.is_shedding {
+            MAX_CORRECTION
+        } else {
+            MAX_IDLE_CORRECTION
+        };
         for (service, slots) in &sums.capacity {
-            let correction = self.corrections.entry(service.clone()).or_insert(1.0);
             let used = sums.in_use.get(service).copied().unwrap_or(0.0);
-            if used > *slots {
-                *correction *= (slots / used).max(MAX_FALL);
-            } else if used < slots * PLANNED_USE {
-                *correction += CORRECTION_RISE;
-            }
-            *correction = correction.clamp(MIN_CORRECTION, MAX_CORRECTION);
+            let entry = self.corrections.entry(service.clone());
+            let correction = entry.or_insert(ServiceCorrection {
+                factor: 1.0,
+                mean_use: used,
+            });
+            correction.mean_use += (used - correction.mean_use) * USE_WEIGHT;
+            let step = slots * PLANNED_USE / correction.mean_use.max(1.0);
+            correction.factor *= step.clamp(MAX_FALL, MAX_RISE);
+            correction.factor = correction.factor.clamp(MIN_CORRECTION, largest);
         }
     }
 
--- a/src/decision/mesh/call_counts.rs
+++ b/src/decision/mesh/call_counts.rs
@@ -1,9 +1,9 @@
 //! Calls of the own backend server, attributed to the routes whose runs make them.
 //!
-//! Calls carry no link to the run that makes them. A call is attributed to the routes in flight in
-//! proportion to the runs of each and to the call rate learned for it so far, which is one step of
-//! expectation maximisation for Poisson rates. The numbers in flight vary, so that the rates of routes
-//! that make no calls fall to zero.
+//! Calls carry no link to the run that makes them. A call is attributed to the runs in flight in
+//! proportion to the call rate that was learned so far for their route at their age, which is one step
+//! of expectation maximisation for Poisson rates. The ages tell routes apart whose runs are always in
+//! flight side by side, since the runs of a route make their calls at similar ages.
 
 use crate::{
     common::*,
@@ -12,28 +12,48 @@
         load_summary::{CallShare, EnteredRoute, RunRoute},
     },
 };
+use slotmap::{SlotMap, new_key_type};
+
+new_key_type! {
+    /// Key of a run in flight at the own backend server.
+    pub struct RunKey;
+}
 
 /// Calls per run second of a route without evidence, as a prior. A high prior would attribute calls of
 /// busy routes to rare ones that happen to run beside them.
 const PRIOR_RATE: f64 = 0.3;
 
-/// Share of a call below which a route counts as an unlikely sender. Routes that always run side by
-/// side look alike to the estimate; without this rule a rare route keeps its share of calls that it
-/// never makes.
-const MINOR_SHARE: f64 = 0.25;
-
 /// Run seconds that the prior weighs as much as.
 const PRIOR_EXPOSURE: f64 = 0.2;
 
 /// Period over which the offered rate is averaged, in seconds.
 const RATE_PERIOD: f64 = 1.0;
 
+/// Upper bounds of the ages that are told apart, in seconds; the last class has none.
+const AGE_BOUNDS: [f64; AGES - 1] = [0.003, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4];
+
+/// Number of age classes.
+const AGES: usize = 8;
+
+/// Weight of a new duration in the mean.
+const TIME_WEIGHT: f64 = 0.05;
+
+/// Most routes that are followed.
+const MAX_ROUTES: usize = 1_024;
+
+/// Counts by the age of runs.
+type AgeCounts = [DecayedCount; AGES];
+
+#[derive(Debug)]
+struct ActiveRun {
+    route: SmolStr,
+    started: Instant,
+}
+
 /// Runs of one route at the own backend server.
 #[derive(Debug)]
 struct RunState {
-    in_flight: u32,
-    since: Instant,
-    exposure: DecayedCount,
+    exposure: AgeCounts,
     starts: DecayedCount,
     mean_time: f64,
 }
@@ -49,40 +69,46 @@
 /// Runs and calls that one daemon sees.
 #[derive(Debug, Default)]
 pub struct CallCounts {
+    active: SlotMap<RunKey, ActiveRun>,
     runs: IndexMap<SmolStr, RunState>,
     entries: IndexMap<SmolStr, EntryState>,
-    calls: IndexMap<(SmolStr, SmolStr), DecayedCount>,
+    calls: IndexMap<(SmolStr, SmolStr), AgeCounts>,
 }
 
-/// Weight of a new duration in the mean.
-const TIME_WEIGHT: f64 = 0.05;
-
-/// Most routes that are followed.
-const MAX_ROUTES: usize = 1_024;
-
 impl CallCounts {
     /// Records that a run of a route started.
-    pub fn on_start(&mut self, route: &SmolStr, now: Instant) {
-        if self.runs.len() >= MAX_ROUTES && !self.runs.contains_key(route) {
-            return;
+    pub fn on_start(&mut self, route: &SmolStr, now: Instant) -> RunKey {
+        if self.runs.len() < MAX_ROUTES || self.runs.contains_key(route) {
+            self.runs
+                .entry(route.clone())
+                .or_insert_with(|| RunState::new(now))
+                .starts
+                .add(1.0, now);
         }
-        let state = self
-            .runs
-            .entry(route.clone())
-            .or_insert_with(|| RunState::new(now));
-        state.settle(now);
-        state.in_flight += 1;
-        state.starts.add(1.0, now);
+        self.active.insert(ActiveRun {
+            route: route.clone(),
+            started: now,
+        })
     }
 
-    /// Records that a run of a route ended; `time` is its duration if it was answered.
-    pub fn on_end(&mut self, route: &str, time: Option<Duration>, now: Instant) {
-        let Some(state) = self.runs.get_mut(route) else {
+    /// Records that a run ended; `is_answered` tells whether its duration counts.
+    pub fn on_end(&mut self, key: RunKey, is_answered: bool, now: Instant) {
+        let Some(run) = self.active.remove(key) else {
+            return;
+        };
+        let Some(state) = self.runs.get_mut(&run.route) else {
             return;
         };
-        state.settle(now);
-        state.in_flight = state.in_flight.saturating_sub(1);
-        if let Some(time) = time.map(|time| time.as_secs_f64()) {
+        let time = now.saturating_duration_since(run.started).as_secs_f64();
+        let mut begin = 0.0;
+        for (age, count) in state.exposure.iter_mut().enumerate() {
+            let end = AGE_BOUNDS.get(age).copied().unwrap_or(f64::INFINITY);
+            if time > begin {
+                count.add(time.min(end) - begin, now);
+            }
+            begin = end;
+        }
+        if is_answered {
             if state.mean_time == 0.0 {
                 state.mean_time = time;
             }
@@ -104,31 +130,39 @@
         }
     }
 
-    fn attribute(&mut self, route: &SmolStr, now: Instant) {
-        let weights: Vec<(SmolStr, f64)> = self
-            .runs
-            .iter()
-            .filter(|(_, state)| state.in_flight > 0)
-            .map(|(run, state)| {
-                let key = (run.clone(), route.clone());
-                let calls = self.calls.get(&key).map_or(0.0, |count| count.get(now));
-                let exposure = state.exposure.get(now);
+    fn attribute(&mut self, call: &SmolStr, now: Instant) {
+        let mut in_flight = IndexMap::<&SmolStr, [u32; AGES]>::new();
+        for run in self.active.values() {
+            let age = now.saturating_duration_since(run.started).as_secs_f64();
+            let class = AGE_BOUNDS.partition_point(|bound| *bound <= age);
+            in_flight.entry(&run.route).or_default()[class] += 1;
+        }
+        let mut weights: Vec<(SmolStr, [f64; AGES])> = Vec::with_capacity(in_flight.len());
+        for (route, counts) in in_flight {
+            let key = (route.clone(), call.clone());
+            let calls = self.calls.get(&key);
+            let exposure = self.runs.get(route).map(|state| &state.exposure);
+            let mut by_age = [0.0; AGES];
+            for (age, count) in counts.iter().enumerate().filter(|(_, count)| **count > 0) {
+                let calls = calls.map_or(0.0, |calls| calls[age].get(now));
+                let exposure = exposure.map_or(0.0, |exposure| exposure[age].get(now));
                 let rate = (calls + PRIOR_RATE * PRIOR_EXPOSURE) / (exposure + PRIOR_EXPOSURE);
-                (run.clone(), rate * f64::from(state.in_flight))
-            })
-            .collect();
-        let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
+                by_age[age] = rate * f64::from(*count);
+            }
+            weights.push((key.0, by_age));
+        }
+        let total: f64 = weights.iter().flat_map(|(_, by_age)| by_age).sum();
         if total <= 0.0 {
             return;
         }
-        let discount = |weight: f64| weight * (weight / total / MINOR_SHARE).min(1.0);
-        let total: f64 = weights.iter().map(|(_, weight)| discount(*weight)).sum();
-        for (run, weight) in weights {
-            let weight = discount(weight);
-            self.calls
-                .entry((run, route.clone()))
-                .or_insert_with(|| DecayedCount::new(now))
-                .add(weight / total, now);
+        for (route, by_age) in weights {
+            let counts = self
+                .calls
+                .entry((route, call.clone()))
+                .or_insert_with(|| [DecayedCount::new(now); AGES]);
+            for (count, weight) in counts.iter_mut().zip(by_age) {
+                count.add(weight / total, now);
+            }
         }
     }
 
@@ -162,7 +196,7 @@
             .map(|((run, call), count)| CallShare {
                 run: run.clone(),
                 call: call.clone(),
-                count: count.get(now) as f32,
+                count: count.iter().map(|count| count.get(now)).sum::<f64>() as f32,
             })
             .collect()
     }
@@ -171,19 +205,11 @@
 impl RunState {
     fn new(now: Instant) -> Self {
         Self {
-            in_flight: 0,
-            since: now,
-            exposure: DecayedCount::new(now),
+            exposure: [DecayedCount::new(now); AGES],
             starts: DecayedCount::new(now),
             mean_time: 0.0,
         }
     }
-
-    fn settle(&mut self, now: Instant) {
-        let seconds = now.saturating_duration_since(self.since).as_secs_f64();
-        self.exposure.add(seconds * f64::from(self.in_flight), now);
-        self.since = now;
-    }
 }
 
 impl EntryState {
--- a/src/decision/mesh/decayed_count.rs
+++ b/src/decision/mesh/decayed_count.rs
@@ -3,7 +3,7 @@
 use crate::common::*;
 
 /// Time in which the weight of a past event falls to 1/e.
-pub const DECAY_TIME: Duration = Duration::from_secs(20);
+pub const DECAY_TIME: Duration = Duration::from_secs(8);
 
 /// Count whose past weighs less with time.
 #[derive(Clone, Copy, Debug)]
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -7,7 +7,9 @@
         admission::admission_gate::{GateRequest, ShedReason, WorkResult},
         clock::Clock,
         mesh::{
-            call_counts::CallCounts, instance_choice::LoadReport, latency_book::LatencyBook,
+            call_counts::{CallCounts, RunKey},
+            instance_choice::LoadReport,
+            latency_book::LatencyBook,
             load_summary::LoadSummary,
         },
         profile::service_profile::AdmissionLimits,
@@ -230,7 +232,7 @@
             // Failures are often quick; as service times they would draw load to a failing instance.
             RunEnd::Answered(answer) if answer.status >= 500 => WorkResult::Completed,
             RunEnd::Answered(_) => {
-                run.time = Some(now - started);
+                run.is_answered = true;
                 self.times.lock().record(&call.route, now - started);
                 WorkResult::Completed
             }
@@ -383,18 +385,17 @@
 /// Counts a run as in flight until it is dropped.
 struct CountedRun<'a> {
     executor: &'a Executor,
-    route: &'a SmolStr,
-    time: Option<Duration>,
+    key: RunKey,
+    is_answered: bool,
 }
 
 impl<'a> CountedRun<'a> {
-    fn start(executor: &'a Executor, route: &'a SmolStr) -> Self {
+    fn start(executor: &'a Executor, route: &SmolStr) -> Self {
         let now = executor.clock.now();
-        executor.counts.lock().on_start(route, now);
         Self {
             executor,
-            route,
-            time: None,
+            key: executor.counts.lock().on_start(route, now),
+            is_answered: false,
         }
     }
 }
@@ -403,7 +404,7 @@
     fn drop(&mut self) {
         let now = self.executor.clock.now();
         let mut counts = self.executor.counts.lock();
-        counts.on_end(self.route, self.time, now);
+        counts.on_end(self.key, self.is_answered, now);
     }
 }
 
