--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -38,8 +38,14 @@
 /// effect of a plan, so that a larger step would overshoot.
 const MAX_FALL: f64 = 0.9;
 
+/// Share of the slots above which a service is full.
+const FULL_USE: f64 = 1.0;
+
+/// Share of the slots below which a service has room.
+const FREE_USE: f64 = 0.85;
+
 /// Largest factor on the correction of a service's capacity in one plan.
-const MAX_RISE: f64 = 1.08;
+const MAX_RISE: f64 = 1.03;
 
 /// Weight of a new load report in the mean use of a service. Runs take up to a second, so that single
 /// reports vary much more than the load.
@@ -49,7 +55,7 @@
 const MIN_CORRECTION: f64 = 0.4;
 
 /// Largest correction while requests are refused: the plan then overestimates their cost.
-const MAX_CORRECTION: f64 = 2.0;
+const MAX_CORRECTION: f64 = 1.5;
 
 /// Largest correction while nothing is refused, so that a surge does not meet a plan that has grown too
 /// generous.
@@ -249,8 +255,12 @@
                 mean_use: used,
             });
             correction.mean_use += (used - correction.mean_use) * USE_WEIGHT;
-            let step = slots * PLANNED_USE / correction.mean_use.max(1.0);
-            correction.factor *= step.clamp(MAX_FALL, MAX_RISE);
+            let mean = correction.mean_use;
+            if mean > slots * FULL_USE {
+                correction.factor *= (slots * FULL_USE / mean).max(MAX_FALL);
+            } else if mean < slots * FREE_USE {
+                correction.factor *= MAX_RISE;
+            }
             correction.factor = correction.factor.clamp(MIN_CORRECTION, largest);
         }
     }
--- a/src/decision/mesh/call_counts.rs
+++ b/src/decision/mesh/call_counts.rs
@@ -23,8 +23,9 @@
 /// busy routes to rare ones that happen to run beside them.
 const PRIOR_RATE: f64 = 0.3;
 
-/// Run seconds that the prior weighs as much as.
-const PRIOR_EXPOSURE: f64 = 0.2;
+/// Run seconds in one age class that the prior weighs as much as. A route with ten runs a second spends
+/// as much in the shortest class within a second.
+const PRIOR_EXPOSURE: f64 = 0.03;
 
 /// Period over which the offered rate is averaged, in seconds.
 const RATE_PERIOD: f64 = 1.0;
