Let the plan fall only with a queue and rise faster

With the age of runs the learned costs come near the true ones (manual-fetch makes no calls: 2.2 to 0.06 calls learned; tug-assign 8.2), but the correction fell with every report above the slots.

Change: the correction falls only when the mean use exceeds the slots by a quarter, rises by 8% a plan below 85%, and stays above 0.6.

--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -38,21 +38,22 @@
 /// effect of a plan, so that a larger step would overshoot.
 const MAX_FALL: f64 = 0.9;
 
-/// Share of the slots above which a service is full.
-const FULL_USE: f64 = 1.0;
+/// Use above which a service is overloaded, as a share of its slots. A short queue keeps the slots in
+/// use, and the calls in it start well within their time.
+const FULL_USE: f64 = 1.25;
 
 /// Share of the slots below which a service has room.
 const FREE_USE: f64 = 0.85;
 
 /// Largest factor on the correction of a service's capacity in one plan.
-const MAX_RISE: f64 = 1.03;
+const MAX_RISE: f64 = 1.08;
 
 /// Weight of a new load report in the mean use of a service. Runs take up to a second, so that single
 /// reports vary much more than the load.
 const USE_WEIGHT: f64 = 0.4;
 
 /// Least correction of a service's capacity.
-const MIN_CORRECTION: f64 = 0.4;
+const MIN_CORRECTION: f64 = 0.6;
 
 /// Largest correction while requests are refused: the plan then overestimates their cost.
 const MAX_CORRECTION: f64 = 1.5;
