Test the decisions, the framing and the path of the store-driven daemon

Change: tests of routes, spread, members, runs, budget, choice, admission, decoders and framing under a manual clock, and of the whole path with stand-ins for the store and backend servers. The spread test failed first (41 of 430 for a share of a tenth): the golden-ratio spread drifts; it is replaced by credits that stay within about one request.

--- a/src/decision/mesh/weighted_spread.rs
+++ b/src/decision/mesh/weighted_spread.rs
@@ -1,16 +1,27 @@
 //! Deterministic spread of a route's requests over its weighted targets.
 
-use crate::{common::*, decision::mesh::route_table::RouteSpec};
+use crate::{
+    common::*,
+    decision::mesh::route_table::{RouteSpec, WeightedTarget},
+};
 
-/// Fractional part of the golden ratio. Multiples of it modulo 1 fill the interval evenly, so that
-/// each run of requests keeps the shares to within about one request.
+/// Fractional part of the golden ratio, which sets the starts of the targets of one route apart.
 const GOLDEN_FRACTION: f64 = 0.618_033_988_749_894_8;
 
-/// Positions of the spread of each route.
+/// Credits of the targets of one route, in requests.
+#[derive(Debug)]
+struct TargetCredits {
+    targets: Vec<WeightedTarget>,
+    credits: Vec<f64>,
+}
+
+/// Spread of the requests of each route. With each request, every target earns its share of a request;
+/// the one with the most credit gets it and pays for it. The counts so stay within about one request of
+/// the shares.
 #[derive(Debug)]
 pub struct WeightedSpread {
     offset: f64,
-    positions: IndexMap<SmolStr, f64>,
+    routes: IndexMap<SmolStr, TargetCredits>,
 }
 
 impl WeightedSpread {
@@ -19,39 +30,55 @@
     pub fn new(offset: f64) -> Self {
         Self {
             offset,
-            positions: IndexMap::new(),
+            routes: IndexMap::new(),
         }
     }
 
     /// Returns the service of the next request of a route.
     pub fn choose(&mut self, route: &RouteSpec) -> Option<SmolStr> {
-        let [first, rest @ ..] = route.targets.as_slice() else {
-            return None;
-        };
-        if rest.is_empty() {
-            return Some(first.service.clone());
+        if let [only] = route.targets.as_slice() {
+            return Some(only.service.clone());
         }
         let offset = self.offset;
-        let position = self
-            .positions
+        let state = self
+            .routes
             .entry(route.name.clone())
-            .or_insert_with(|| offset);
-        *position = (*position + GOLDEN_FRACTION).fract();
-        let total: f64 = route.targets.iter().map(|t| f64::from(t.weight)).sum();
-        let mut left = *position * total;
-        route
-            .targets
-            .iter()
-            .find(|target| {
-                left -= f64::from(target.weight);
-                left < 0.0
-            })
-            .or(route.targets.iter().rfind(|target| target.weight > 0))
-            .map(|target| target.service.clone())
+            .or_insert_with(|| TargetCredits::new(&route.targets, offset));
+        if state.targets != route.targets {
+            *state = TargetCredits::new(&route.targets, offset);
+        }
+        state.choose()
     }
 
-    /// Forgets the positions of routes that are not in force any more.
+    /// Forgets routes that are not in force any more.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.positions.retain(|name, _| is_known(name));
+        self.routes.retain(|name, _| is_known(name));
+    }
+}
+
+impl TargetCredits {
+    fn new(targets: &[WeightedTarget], offset: f64) -> Self {
+        let starts = (0..targets.len()).map(|index| index as f64 * GOLDEN_FRACTION + offset);
+        Self {
+            targets: targets.to_vec(),
+            credits: starts.map(|start| start.fract() - 0.5).collect(),
+        }
+    }
+
+    fn choose(&mut self) -> Option<SmolStr> {
+        let total: f64 = self.targets.iter().map(|t| f64::from(t.weight)).sum();
+        let mut best: Option<usize> = None;
+        for (index, target) in self.targets.iter().enumerate() {
+            if target.weight == 0 {
+                continue;
+            }
+            self.credits[index] += f64::from(target.weight) / total;
+            if best.is_none_or(|best| self.credits[index] > self.credits[best]) {
+                best = Some(index);
+            }
+        }
+        let best = best?;
+        self.credits[best] -= 1.0;
+        Some(self.targets[best].service.clone())
     }
 }
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -339,6 +339,9 @@
             version.0,
             table.len()
         );
+        self.spread
+            .lock()
+            .retain(|name| table.by_name(name).is_some());
         *routes = Some(Arc::new(table));
         drop(routes);
         self.items.lock().config = Some(item.clone());
--- /dev/null
+++ b/tests/mesh/decoders.rs
@@ -0,0 +1,131 @@
+//! What the platform writes, readable and not.
+
+use crate::fixed_seeds;
+use bytes::BytesMut;
+use skylarkstream::{
+    decision::mesh::{fleet_view::ServingState, route_table::RunRule},
+    mesh::{
+        mesh_settings::MeshSettings,
+        peer_frame::PeerFrame,
+        store_interface::{StoreFormat, StorePrefix},
+    },
+    platform::store_calls::PlatformStore,
+};
+use std::time::Duration;
+
+const CONFIG: &str = r#"{"version":"r7","routes":[
+    {"name":"a","hostname":"h.example","prefix":"/a/","route-type":"download","timeout-s":1,
+     "target-latency-s":1.5,"priority":2,"max-attempts":2,
+     "weighted-targets":[{"service":"x","weight":90},{"service":"y","weight":10}]},
+    {"name":"b","hostname":"h.example","prefix":"/b/","route-type":"unsafe","timeout-s":1.2,
+     "target-latency-s":1.5,"priority":0,"service":"x","max-attempts":0}],
+    "services":[],"limits":{"max-header-bytes":16384,"max-body-bytes":1000,
+    "header-timeout-s":3,"idle-timeout-s":15},"unknown":1}"#;
+
+const ENTRY: &str = r#"{"service":"x","address":"10.1.0.9:80","zone":"z","version":"v1",
+    "slots":91,"state":"draining","cold-remaining-s":1.5,"sequence":4,"born":1700000000000}"#;
+
+/// Guards against routes, bounds and repeat rules that are read differently than they are written.
+#[test]
+fn config_is_decoded() {
+    let table = PlatformStore
+        .decode_config(CONFIG.as_bytes())
+        .expect("a table");
+    assert_eq!(table.version().0, 7);
+    assert_eq!(table.limits().body_bytes, 1000);
+    let a = table.find("h.example", "/a/1").expect("a route");
+    assert_eq!(a.rule, RunRule::Repeatable);
+    assert_eq!(a.targets.len(), 2);
+    let b = table.find("h.example", "/b/1").expect("a route");
+    assert_eq!(b.rule, RunRule::Once);
+    assert_eq!(b.timeout, Duration::from_millis(1_200));
+    assert_eq!(b.max_attempts, 1);
+}
+
+/// Guards against a repeat of requests whose type is not known.
+#[test]
+fn unknown_route_type_runs_once() {
+    let text = CONFIG.replace("download", "something-new");
+    let table = PlatformStore
+        .decode_config(text.as_bytes())
+        .expect("a table");
+    let route = table.find("h.example", "/a/1").expect("a route");
+    assert_eq!(route.rule, RunRule::Once);
+}
+
+/// Guards against entries of other writers that are taken for servers.
+#[test]
+fn only_complete_entries_name_a_server() {
+    let entry = PlatformStore
+        .decode_entry(ENTRY.as_bytes())
+        .expect("an entry");
+    assert_eq!(entry.state, ServingState::Draining);
+    assert_eq!(entry.slots, 91);
+    assert_eq!(entry.cold, Duration::from_millis(1_500));
+    assert_eq!(entry.born_ms, Some(1_700_000_000_000));
+    for (field, wrong) in [
+        (r#""slots":91"#, r#""slots":"91""#),
+        (r#""slots":91,"#, ""),
+        (r#""state":"draining""#, r#""state":"asleep""#),
+        ("10.1.0.9:80", "nowhere"),
+        (r#""sequence":4,"#, ""),
+        (r#""cold-remaining-s":1.5"#, r#""cold-remaining-s":-1"#),
+        (r#""born":1700000000000"#, r#""born":1.5"#),
+    ] {
+        let text = ENTRY.replace(field, wrong);
+        assert!(
+            PlatformStore.decode_entry(text.as_bytes()).is_err(),
+            "{text}"
+        );
+    }
+}
+
+/// Guards against pages and changes whose keys, removals or revisions are lost.
+#[test]
+fn pages_and_watches_are_decoded() {
+    let page = br#"{"items":[{"key":"servers/i-1","value":"eyJ9","revision":5,"created":1,
+        "lease":3},{"key":"op/config","value":"!","revision":6}],"has-more":true,"as-of":9}"#;
+    let page = PlatformStore.decode_page(page).expect("a page");
+    assert_eq!(page.items[0].instance.as_deref(), Some("i-1"));
+    assert!(page.items[1].is_config);
+    assert!(page.has_more);
+    assert_eq!(page.revision, 9);
+    assert_eq!(page.last_key.as_deref(), Some("op/config"));
+    let watch = br#"{"events":[{"key":"servers/i-1","revision":7,"tombstone":true}],"as-of":9}"#;
+    let watch = PlatformStore.decode_watch(watch).expect("changes");
+    assert_eq!(watch.items[0].value, None);
+    let target = PlatformStore.range_target(StorePrefix::Entries, Some("servers/a b"));
+    assert_eq!(target, "/kv-range?prefix=servers%2F&after=servers%2Fa%20b");
+}
+
+/// Guards against decoders that panic on bytes of any kind.
+#[test]
+fn decoders_refuse_arbitrary_bytes() {
+    fixed_seeds::check(|random| {
+        let bytes: Vec<u8> = random.arbitrary()?;
+        let _ = PlatformStore.decode_config(&bytes);
+        let _ = PlatformStore.decode_entry(&bytes);
+        let _ = PlatformStore.decode_page(&bytes);
+        let _ = MeshSettings::from_bytes(&bytes);
+        let mut framed = BytesMut::from(&(bytes.len() as u32).to_be_bytes()[..]);
+        framed.extend_from_slice(&bytes);
+        let _ = PeerFrame::take(&mut framed);
+        Ok(())
+    });
+}
+
+/// Guards against a message of any length that a daemon buffers without a bound.
+#[test]
+fn oversized_message_is_refused() {
+    let mut bytes = BytesMut::from(&u32::MAX.to_be_bytes()[..]);
+    assert!(PeerFrame::take(&mut bytes).is_err());
+}
+
+/// Guards against settings errors without a place.
+#[test]
+fn settings_error_names_line_and_key() {
+    let text = "instance = \"i\"\ngrace_s = \"long\"\n";
+    let error = MeshSettings::from_bytes(text.as_bytes()).expect_err("a wrong type");
+    assert!(error.to_string().contains("line 2"), "{error}");
+    assert!(error.to_string().contains("grace_s"), "{error}");
+}
--- /dev/null
+++ b/tests/mesh/framing.rs
@@ -0,0 +1,142 @@
+//! Framing of HTTP/1.1 messages.
+
+use crate::{fixed_seeds, stand_ins};
+use bytes::BytesMut;
+use skylarkstream::http1::{
+    body_decoder::{BodyDecoder, BodyLength},
+    client_connection::{ClientConnection, ExchangeError, ServerResponse},
+    message_head::{MessageError, RequestHead},
+};
+
+fn head(text: &str) -> Result<Option<RequestHead>, MessageError> {
+    RequestHead::take(&mut BytesMut::from(text), 1_000)
+}
+
+/// Guards against a request that is hidden in the body of another: a head whose body could end at two
+/// places is refused.
+#[test]
+fn ambiguous_lengths_are_refused() {
+    for lines in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+    ] {
+        let text = format!("POST / HTTP/1.1\r\n{lines}\r\n");
+        let head = head(&text).expect("a head").expect("a complete head");
+        assert_eq!(head.body_length(), Err(MessageError::Length), "{lines}");
+    }
+    assert!(head("GET / HTTP/1.1\r\nA : b\r\n\r\n").is_err());
+}
+
+/// Guards against an unbounded head.
+#[test]
+fn large_head_is_refused_before_it_is_complete() {
+    let text = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(2_000));
+    assert!(matches!(head(&text), Err(MessageError::HeadSize)));
+}
+
+/// Guards against headers of one connection that reach the backend server.
+#[test]
+fn hop_by_hop_fields_are_left_out() {
+    let text = "GET / HTTP/1.1\r\nConnection: close, X-Own\r\nX-Own: 1\r\nKeep-Alive: 5\r\n\
+        X-Kept: 2\r\n\r\n";
+    let head = head(text).expect("a head").expect("a complete head");
+    let kept: Vec<_> = head.headers.end_to_end(|_| false).collect();
+    assert_eq!(kept, [(&b"X-Kept"[..], &b"2"[..])]);
+    assert!(!head.keeps_connection());
+}
+
+/// Guards against chunked bodies that are decoded differently when they arrive in other pieces.
+#[test]
+fn chunked_body_does_not_depend_on_the_pieces() {
+    let message = b"4\r\nabcd\r\n10;x=y\r\n0123456789abcdef\r\n0\r\nT: 1\r\n\r\nNEXT";
+    fixed_seeds::check(|random| {
+        let mut decoder = BodyDecoder::new(BodyLength::Chunked);
+        let (mut input, mut body) = (BytesMut::new(), BytesMut::new());
+        let mut rest = &message[..];
+        while !rest.is_empty() {
+            let (piece, left) = rest.split_at(random.int_in_range(1..=rest.len())?);
+            rest = left;
+            input.extend_from_slice(piece);
+            decoder
+                .decode(&mut input, &mut body, 100)
+                .expect("a valid body");
+        }
+        assert!(decoder.is_done());
+        assert_eq!(&body[..], b"abcd0123456789abcdef");
+        assert_eq!(&input[..], b"NEXT");
+        Ok(())
+    });
+}
+
+/// Guards against a body that exceeds its bound or has a chunk without an end.
+#[test]
+fn bodies_are_bounded_and_checked() {
+    let decode = |text: &str, most| {
+        let mut decoder = BodyDecoder::new(BodyLength::Chunked);
+        decoder.decode(&mut BytesMut::from(text), &mut BytesMut::new(), most)
+    };
+    assert_eq!(decode("4\r\nabcd\r\n", 3), Err(MessageError::BodySize));
+    assert_eq!(decode("4\r\nabcdXX", 9), Err(MessageError::Chunk));
+    assert_eq!(decode("zz\r\n", 9), Err(MessageError::Chunk));
+}
+
+/// Sends one request to a server that writes `answer` and then closes.
+async fn exchange(answer: &'static str) -> Result<ServerResponse, ExchangeError> {
+    let address = stand_ins::serve_bytes(answer).await;
+    let mut connection = ClientConnection::open(address).await?;
+    let request = b"GET / HTTP/1.1\r\n\r\n";
+    let is_own = |head: &skylarkstream::http1::message_head::ResponseHead| {
+        head.headers.get("Id") == Some(b"own")
+    };
+    connection.exchange(request, false, 1_000, is_own).await
+}
+
+/// Guards against the late answer to another request that is handed to this one, and against the loss
+/// of the right answer behind it.
+#[tokio::test]
+async fn answer_to_another_request_is_skipped() {
+    let response = exchange(
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong\
+         HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 5\r\n\r\nright",
+    )
+    .await
+    .expect("the own answer");
+    assert_eq!(&response.body[..], b"right");
+    assert!(!response.is_reusable);
+}
+
+/// Guards against a broken answer that looks complete.
+#[tokio::test]
+async fn short_answers_are_errors() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 9\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        "HTTP/1.1 200 OK\r\nId: o",
+        "not HTTP\r\n\r\n",
+    ] {
+        assert!(exchange(answer).await.is_err(), "{answer}");
+    }
+}
+
+/// Guards against an answer without a length that is refused, or whose connection is used again.
+#[tokio::test]
+async fn answer_may_end_with_its_connection() {
+    let response = exchange("HTTP/1.1 200 OK\r\nId: own\r\n\r\nto the end").await;
+    let response = response.expect("a complete answer");
+    assert_eq!(&response.body[..], b"to the end");
+    assert!(!response.is_reusable);
+}
+
+/// Guards against bytes behind an answer that are taken for the next one.
+#[tokio::test]
+async fn extra_bytes_end_the_use_of_a_connection() {
+    let response =
+        exchange("HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n")
+            .await
+            .expect("the own answer");
+    assert!(!response.is_reusable);
+}
--- /dev/null
+++ b/tests/mesh/links.rs
@@ -0,0 +1,211 @@
+//! Links between daemons through a proxy that resets or silences them.
+
+use crate::stand_ins::{BackendStandIn, Behaviour, free_port, host};
+use bytes::Bytes;
+use skylarkstream::{
+    decision::clock::SystemClock,
+    mesh::{
+        fleet_state::FleetState,
+        mesh_settings::MeshSettings,
+        peer_frame::{CallFrame, HelloFrame, NESTED_CLASS, RunEnd},
+        peer_link::{CallEnd, LinkObserver, PeerLink},
+        peer_listener::PeerListener,
+    },
+    platform::{context_names::context_headers, store_calls::PlatformStore},
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
+};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+struct Observer;
+
+impl LinkObserver for Observer {
+    fn reached(&self, _: SocketAddr, _: bool) {}
+
+    fn greeted(&self, _: SocketAddr, _: &HelloFrame) {}
+
+    fn hello(&self) -> HelloFrame {
+        HelloFrame {
+            daemon: 5,
+            ip: host(9, 0).ip(),
+            is_leaving: false,
+            config_version: 0,
+            members: 0,
+        }
+    }
+
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+}
+
+/// Proxy whose connections can be reset or silenced. New connections always work.
+struct LinkProxy {
+    address: SocketAddr,
+    reset: watch::Sender<u32>,
+    silences: Arc<AtomicBool>,
+}
+
+impl LinkProxy {
+    async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(host(1, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let reset = watch::Sender::new(0);
+        let silences = Arc::new(AtomicBool::new(false));
+        let (signal, silent) = (reset.clone(), Arc::clone(&silences));
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let mut signal = signal.subscribe();
+                let silent = Arc::clone(&silent);
+                tokio::spawn(async move {
+                    let Ok(mut far) = TcpStream::connect(target).await else {
+                        return;
+                    };
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut near, &mut far) => {}
+                        _ = signal.changed() => {}
+                    }
+                    if silent.load(Ordering::Relaxed) {
+                        // Both ends keep a connection on which nothing arrives any more.
+                        std::future::pending::<()>().await;
+                    }
+                });
+            }
+        });
+        Self {
+            address,
+            reset,
+            silences,
+        }
+    }
+
+    fn break_connections(&self, is_silent: bool) {
+        self.silences.store(is_silent, Ordering::Relaxed);
+        self.reset.send_modify(|count| *count += 1);
+    }
+}
+
+struct Scenario {
+    backend: Arc<BackendStandIn>,
+    proxy: LinkProxy,
+    link: Arc<PeerLink>,
+}
+
+impl Scenario {
+    async fn start() -> Self {
+        let (port, backend_port) = (free_port(), free_port());
+        let (peer, backend) = (host(1, port), host(1, backend_port));
+        let text = format!(
+            "instance = \"i\"\ndata_centre = \"a\"\nservice = \"s\"\nbackend = \"{backend}\"\n\
+             outbound = \"127.0.0.1:1\"\npeer = \"{peer}\"\nreadiness = \"127.0.0.1:2\"\n\
+             store = \"127.0.0.1:3\"\ngrace_s = 1.0\n"
+        );
+        let settings = MeshSettings::from_bytes(text.as_bytes()).expect("settings");
+        let state = Arc::new(FleetState::new(
+            settings,
+            context_headers(),
+            Arc::new(PlatformStore),
+            Arc::new(SystemClock),
+        ));
+        let listener = TcpListener::bind(peer).await.expect("the address");
+        tokio::spawn(PeerListener::new(state).serve(listener));
+        let proxy = LinkProxy::start(peer).await;
+        Self {
+            backend: BackendStandIn::start(backend, "i-1").await,
+            link: PeerLink::start(proxy.address, Arc::new(Observer)),
+            proxy,
+        }
+    }
+
+    fn call(&self, number: u64) -> CallFrame {
+        CallFrame {
+            number,
+            service: "s".into(),
+            instance: "i-1".into(),
+            origin: "s".into(),
+            route: "r".into(),
+            class: NESTED_CLASS,
+            rank: 0,
+            is_repeat: false,
+            is_once: true,
+            budget_ms: 20_000,
+            patience_ms: 1_000,
+            sent_us: 0,
+            method: "GET".into(),
+            attempt: Bytes::from(format!("a{number}")),
+            head: Bytes::from(format!("GET /x HTTP/1.1\r\nAttempt-Id: a{number}\r\n")),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Breaks the connection while a request runs, lets it end, and checks that its answer arrives
+    /// and that it ran once.
+    async fn check_break(&self, is_silent: bool) {
+        self.backend.set(Behaviour::Hold);
+        let call = self.link.call(self.call(1));
+        while self.backend.run_count() == 0 {
+            tokio::task::yield_now().await;
+        }
+        self.proxy.break_connections(is_silent);
+        self.backend.release.notify_one();
+        let CallEnd::Reply(reply) = call.end().await else {
+            panic!("the answer is lost");
+        };
+        let RunEnd::Answered(answer) = &reply.end else {
+            panic!("{:?}", reply.end);
+        };
+        assert_eq!(&answer.body[..], b"i-1 ran a1");
+        assert_eq!(self.backend.run_count(), 1);
+    }
+}
+
+/// Guards against an answer that was made and is lost because the connection was reset.
+#[tokio::test]
+async fn answer_survives_a_reset_connection() {
+    Scenario::start().await.check_break(false).await;
+}
+
+/// Guards against a request that waits for ever on a connection that fell silent without a reset.
+#[tokio::test]
+async fn answer_survives_a_silent_connection() {
+    Scenario::start().await.check_break(true).await;
+}
+
+/// Guards against work for a caller that has left.
+#[tokio::test]
+async fn dropped_call_ends_at_the_backend_server() {
+    let scenario = Scenario::start().await;
+    scenario.backend.set(Behaviour::Hold);
+    let call = scenario.link.call(scenario.call(1));
+    while scenario.backend.run_count() == 0 {
+        tokio::task::yield_now().await;
+    }
+    drop(call);
+    while *scenario.backend.cancelled.lock() == 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against a server that started anew under another id and is asked under the old one for ever.
+#[tokio::test]
+async fn server_with_a_new_id_is_asked_again() {
+    let scenario = Scenario::start().await;
+    *scenario.backend.id.lock() = "i-2".to_owned();
+    for number in 1..=2 {
+        let CallEnd::Reply(reply) = scenario.link.call(scenario.call(number)).end().await else {
+            panic!("the answer is lost");
+        };
+        assert!(matches!(reply.end, RunEnd::Answered(_)), "{:?}", reply.end);
+    }
+    assert_eq!(scenario.backend.run_count(), 2);
+}
--- /dev/null
+++ b/tests/mesh/main.rs
@@ -0,0 +1,16 @@
+//! Decisions, framing and whole path of daemons whose routes and members come from a store.
+
+#[path = "../fixed_seeds/mod.rs"]
+mod fixed_seeds;
+
+mod admission;
+mod budget;
+mod choice;
+mod decoders;
+mod framing;
+mod links;
+mod members;
+mod path;
+mod routes;
+mod runs;
+mod stand_ins;
--- /dev/null
+++ b/tests/mesh/runs.rs
@@ -0,0 +1,82 @@
+//! Runs that other daemons ask for.
+
+use crate::fixed_seeds;
+use skylarkstream::decision::{
+    clock::{Clock, ManualClock},
+    mesh::run_table::{ResumedRun, RunId, RunTable},
+};
+use std::{collections::BTreeSet, time::Duration};
+
+const PATIENCE: Duration = Duration::from_secs(2);
+
+fn id(number: u64) -> RunId {
+    RunId { sender: 1, number }
+}
+
+/// Guards against a request that was told not to have run and starts when its delayed message arrives.
+#[test]
+fn unknown_run_is_barred_when_its_sender_asks() {
+    let now = ManualClock::new().now();
+    let mut runs = RunTable::<u8>::new();
+    assert_eq!(runs.resume(id(1), now), ResumedRun::Barred);
+    assert!(!runs.start(id(1)));
+}
+
+/// Guards against an answer that is lost with the connection on which it was due.
+#[test]
+fn result_is_kept_for_a_sender_that_reconnects() {
+    let now = ManualClock::new().now();
+    let mut runs = RunTable::new();
+    assert!(runs.start(id(1)));
+    runs.orphan(1, now);
+    assert_eq!(runs.resume(id(1), now), ResumedRun::Running);
+    runs.finish(id(1), 7, 100, now);
+    assert_eq!(runs.resume(id(1), now), ResumedRun::Finished(7));
+    assert!(!runs.start(id(1)));
+}
+
+/// Guards against work that goes on for a daemon that is gone.
+#[test]
+fn orphaned_run_ends_after_the_patience() {
+    let clock = ManualClock::new();
+    let mut runs = RunTable::<u8>::new();
+    assert!(runs.start(id(1)) && runs.start(id(2)));
+    runs.orphan(1, clock.now());
+    runs.resume(id(2), clock.now());
+    clock.advance(PATIENCE);
+    assert_eq!(runs.expire(PATIENCE, clock.now()), [id(1)]);
+}
+
+/// Guards against a second start of a run under any order of messages, cancellations and results.
+#[test]
+fn run_starts_at_most_once() {
+    fixed_seeds::check(|random| {
+        let clock = ManualClock::new();
+        let mut runs = RunTable::<u8>::new();
+        let mut started = BTreeSet::new();
+        let mut barred = BTreeSet::new();
+        for _ in 0..40 {
+            let number = u64::from(random.int_in_range(1..=3_u8)?);
+            match random.choose_index(5)? {
+                0 => {
+                    if runs.start(id(number)) {
+                        assert!(started.insert(number), "a second start");
+                        assert!(!barred.contains(&number), "a start after the bar");
+                    }
+                }
+                1 => {
+                    runs.bar(id(number), clock.now());
+                    barred.insert(number);
+                }
+                2 => runs.finish(id(number), 1, 1, clock.now()),
+                3 => {
+                    if runs.resume(id(number), clock.now()) == ResumedRun::Barred {
+                        barred.insert(number);
+                    }
+                }
+                _ => clock.advance(Duration::from_millis(50)),
+            }
+        }
+        Ok(())
+    });
+}
