Refuse requests that a leaving daemon cannot end

Ruled out: a longer grace, which the platform sets.

Change: a request whose time limit lies beyond the end of the process is refused with the time to come back.

--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -149,6 +149,9 @@
         let plan = self.state.plan();
         let is_nested = plan.route(&route.name).is_some_and(|plan| plan.is_nested);
         self.state.executor.count_entry(&route.name, is_nested);
+        if !self.state.lasts_until(request.received + patience) {
+            return Err(own_end(OwnAnswer::Leaving));
+        }
         if !self.state.can_complete(&route.name) {
             return Err(own_end(OwnAnswer::NoInstance));
         }
--- a/src/mesh/entry_answer.rs
+++ b/src/mesh/entry_answer.rs
@@ -32,6 +32,8 @@
     Busy,
     /// The services that the request needs have no room for it.
     Shed,
+    /// The daemon ends before the request could.
+    Leaving,
     /// The budget for repeats is used up, and nothing was run.
     Budget,
     /// The time is over before the request was run.
@@ -58,6 +60,7 @@
             | Self::NoInstance
             | Self::Busy
             | Self::Shed
+            | Self::Leaving
             | Self::Budget
             | Self::Expired => 503,
             Self::NoRoute => 404,
@@ -78,6 +81,7 @@
             Self::NoInstance => "no-instance",
             Self::Busy => "busy",
             Self::Shed => "shed",
+            Self::Leaving => "leaving",
             Self::Budget => "budget",
             Self::Expired => "expired",
             Self::Lost => "lost",
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -54,6 +54,7 @@
     items: Mutex<KnownItems>,
     routes: Mutex<Option<Arc<RouteTable>>>,
     is_leaving: AtomicBool,
+    ends_at: Mutex<Option<Instant>>,
     next_number: AtomicU64,
     open_requests: AtomicU64,
 }
@@ -109,6 +110,7 @@
             items: Mutex::default(),
             routes: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            ends_at: Mutex::default(),
             next_number: AtomicU64::new(1),
             open_requests: AtomicU64::new(0),
         }
@@ -146,8 +148,9 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
-    /// Refuses new runs from now on; requests of callers are still served.
-    pub fn leave(&self) {
+    /// Refuses new runs from now on; requests of callers are served if they can end before `end`.
+    pub fn leave(&self, end: Instant) {
+        *self.ends_at.lock() = Some(end);
         self.is_leaving.store(true, Ordering::Relaxed);
         self.executor.leave();
     }
@@ -166,6 +169,11 @@
         }
     }
 
+    /// Returns whether the process goes on until `limit`, as far as it knows.
+    pub fn lasts_until(&self, limit: Instant) -> bool {
+        self.ends_at.lock().is_none_or(|end| limit <= end)
+    }
+
     /// Returns the next run number.
     pub fn next_number(&self) -> u64 {
         self.next_number.fetch_add(1, Ordering::Relaxed)
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -118,9 +118,10 @@
         }
     }
     let _ = stop.wait_for(|is_stopping| *is_stopping).await;
-    state.leave();
+    let latest = state.clock.now() + state.settings.grace().saturating_sub(EXIT_MARGIN);
+    state.leave(latest);
     links.broadcast(&PeerFrame::Leaving);
-    leave(&state, &runs).await;
+    leave(&state, &runs, latest).await;
     log::info!(
         "daemon: Stopped with {} open requests.",
         state.open_requests()
@@ -129,10 +130,8 @@
 }
 
 /// Waits until the clients have left and all requests are answered.
-async fn leave(state: &FleetState, runs: &PeerListener) {
-    let started = state.clock.now();
-    let latest = started + state.settings.grace().saturating_sub(EXIT_MARGIN);
-    let earliest = (started + LEAVE_TIME).min(latest);
+async fn leave(state: &FleetState, runs: &PeerListener, latest: Instant) {
+    let earliest = (state.clock.now() + LEAVE_TIME).min(latest);
     loop {
         tokio::time::sleep(BUSY_INTERVAL).await;
         let now = state.clock.now();
