Write one structured line a decision and serve metrics

Cause: after a failed request the operators have only logs and metrics, and the daemon wrote free text on the standard error stream.

Change: lines on the standard output have the attempt, the inputs of the decision and its end as fields; they pass a bounded queue that counts what it drops. Requests by route and end, the time to an answer, repeats and losses of the store are served on the metrics address.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -12,6 +12,7 @@
 pub mod executor;
 pub mod fleet_state;
 pub mod mesh_daemon;
+pub mod mesh_metrics;
 pub mod mesh_settings;
 pub mod peer_frame;
 pub mod peer_link;
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -19,6 +19,7 @@
     },
 };
 use bytes::{BufMut, Bytes, BytesMut};
+use smol_str::format_smolstr;
 use tokio::time::timeout_at;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -116,20 +117,54 @@
     pub async fn serve(&self, request: CallerRequest) -> EntryAnswer {
         let attempt = request.head.headers.get(self.state.headers.attempt);
         let attempt = Bytes::copy_from_slice(attempt.unwrap_or_default());
-        match self.answer(&request, &attempt).await {
+        let result = self.answer(&request, &attempt).await;
+        self.record_end(&request, &attempt, &result);
+        match result {
             Ok(answer) => EntryAnswer::passed_on(answer),
-            Err(end) => {
-                log::info!(
-                    "entry: {} {} for {} ends with {}, {:?} after it arrived.",
-                    request.head.method,
-                    request.head.target,
-                    attempt.escape_ascii(),
-                    end.reason.name(),
-                    self.state.clock.now() - request.received,
-                );
-                self.own_answer(end.reason, &attempt, end.return_time)
-            }
+            Err(end) => self.own_answer(end.reason, &attempt, end.return_time),
+        }
+    }
+
+    /// Writes the line and the metrics of an answered request.
+    fn record_end(
+        &self,
+        request: &CallerRequest,
+        attempt: &[u8],
+        result: &Result<RunAnswer, OwnEnd>,
+    ) {
+        let state = &self.state;
+        let time = state
+            .clock
+            .now()
+            .saturating_duration_since(request.received);
+        let end = match result {
+            Ok(answer) => format_smolstr!("{}", answer.status),
+            Err(end) => SmolStr::new_static(end.reason.name()),
+        };
+        let routes = state.routes();
+        let host = request.head.headers.text("Host").unwrap_or_default();
+        let route = routes
+            .as_ref()
+            .and_then(|routes| routes.find(host, &request.head.target));
+        let name = route.map_or(SmolStr::new_static("none"), |route| route.name.clone());
+        if log::log_enabled!(log::Level::Info) {
+            let plan = state.plan();
+            let planned = plan.route(&name);
+            let version = routes.as_ref().map_or(0, |routes| routes.version().0);
+            log::info!(
+                attempt:% = attempt.escape_ascii(),
+                route:% = name,
+                target:% = request.head.target,
+                end:% = end,
+                time_ms = time.as_millis() as u64,
+                config = version,
+                share = planned.map_or(1.0, |planned| planned.share),
+                nested = u64::from(planned.is_some_and(|planned| planned.is_nested)),
+                plan_daemons = plan.daemons() as u64;
+                "entry: Answered."
+            );
         }
+        state.metrics.count_request(&name, &end, time);
     }
 
     async fn answer(&self, request: &CallerRequest, attempt: &Bytes) -> Result<RunAnswer, OwnEnd> {
@@ -222,6 +257,16 @@
             };
             if history.reached > 0 {
                 let is_granted = self.may_repeat(request, &history, now);
+                log::info!(
+                    attempt:% = request.attempt.escape_ascii(),
+                    route:% = request.route.name,
+                    reached = u64::from(history.reached),
+                    granted = u64::from(is_granted);
+                    "entry: Repeat considered."
+                );
+                if is_granted {
+                    state.metrics.count_repeat();
+                }
                 if !is_granted {
                     let mut choice = state.choice.lock();
                     choice.finish(instance.key, AttemptEnd::Abandoned, now);
@@ -302,6 +347,17 @@
         };
         let limit = request.limit + VERDICT_TIME;
         let end = timeout_at(limit.into(), calling).await.ok();
+        log::info!(
+            attempt:% = request.attempt.escape_ascii(),
+            instance:% = instance.id,
+            address:% = instance.address,
+            left_ms = request
+                .limit
+                .saturating_duration_since(self.state.clock.now())
+                .as_millis() as u64,
+            result:? = end.as_ref().map(describe_end);
+            "entry: Attempt ended."
+        );
         guard.end = match &end {
             Some(CallEnd::Reply(reply)) => {
                 self.record_load(request, instance, reply);
@@ -487,6 +543,28 @@
     }
 }
 
+/// Describes the end of an attempt in one line.
+fn describe_end(end: &CallEnd) -> SmolStr {
+    match end {
+        CallEnd::NotSent => SmolStr::new_static("not sent"),
+        CallEnd::Lost => SmolStr::new_static("connection lost"),
+        CallEnd::Reply(reply) => {
+            let load = reply.load;
+            let end = match &reply.end {
+                RunEnd::Answered(answer) => format_smolstr!("status {}", answer.status),
+                RunEnd::NotRun(reason) => format_smolstr!("not run: {reason:?}"),
+                RunEnd::Unknown(reason) => format_smolstr!("unknown: {reason:?}"),
+            };
+            format_smolstr!(
+                "{end}, {} of {} slots, {} queued",
+                load.in_flight,
+                load.limit,
+                load.queued
+            )
+        }
+    }
+}
+
 fn attempt_end(end: &RunEnd) -> AttemptEnd {
     match end {
         RunEnd::Answered(answer) if answer.status < 500 => AttemptEnd::Answered,
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -18,6 +18,7 @@
     mesh::{
         context_headers::ContextHeaders,
         executor::Executor,
+        mesh_metrics::MeshMetrics,
         mesh_settings::MeshSettings,
         peer_frame::HelloFrame,
         store_interface::{StoreFormat, StoreItem},
@@ -45,6 +46,8 @@
     pub spread: Mutex<WeightedSpread>,
     /// Budget of repeated requests.
     pub budget: Mutex<AttemptBudget>,
+    /// Metrics.
+    pub metrics: MeshMetrics,
     /// Admission of root requests.
     pub admission: Mutex<EntryAdmission>,
     planner: Mutex<AdmissionPlanner>,
@@ -97,6 +100,7 @@
             choice: Mutex::new(choice),
             spread: Mutex::new(WeightedSpread::new(rand::random())),
             budget: Mutex::new(AttemptBudget::new(settings.budget, clock.now())),
+            metrics: MeshMetrics::new(),
             admission: Mutex::default(),
             planner: Mutex::default(),
             plan: Mutex::default(),
@@ -230,6 +234,13 @@
         }
     }
 
+    /// Writes all metrics in the OpenMetrics text format.
+    pub fn metrics_text(&self) -> String {
+        let version = self.routes().map_or(0, |routes| routes.version().0);
+        self.metrics
+            .text(self.executor.load(), version, self.members())
+    }
+
     /// Returns the plan in force.
     pub fn plan(&self) -> Arc<AdmissionPlan> {
         Arc::clone(&self.plan.lock())
@@ -291,6 +302,7 @@
 
     /// Records that the store does not answer.
     pub fn store_lost(&self) {
+        self.metrics.count_store_loss();
         self.view.lock().store_lost();
     }
 
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -12,7 +12,7 @@
         peer_frame::PeerFrame,
         peer_links::PeerLinks,
         peer_listener::PeerListener,
-        readiness_listener,
+        readiness_listener::{self, ShortQuestion},
         store_interface::{StoreFormat, StorePrefix},
         store_reader::StoreReader,
     },
@@ -101,7 +101,21 @@
     }
     tasks.spawn(Arc::clone(&runs).serve(peer));
     tasks.spawn(caller_connection::serve(outbound, entry));
-    tasks.spawn(readiness_listener::serve(readiness, Arc::clone(&state)));
+    let question = ShortQuestion::Readiness;
+    tasks.spawn(readiness_listener::serve(
+        readiness,
+        question,
+        Arc::clone(&state),
+    ));
+    if let Some(address) = settings.metrics {
+        let listener = listen(address).await?;
+        let question = ShortQuestion::Metrics;
+        tasks.spawn(readiness_listener::serve(
+            listener,
+            question,
+            Arc::clone(&state),
+        ));
+    }
     tasks.spawn(keep_house(
         Arc::clone(&state),
         Arc::clone(&runs),
--- a/src/mesh/readiness_listener.rs
+++ b/src/mesh/readiness_listener.rs
@@ -18,14 +18,23 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Answers whether the daemon takes requests, with 200 or 503, whatever the path.
-pub async fn serve(listener: TcpListener, state: Arc<FleetState>) {
+/// Question that a listener answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ShortQuestion {
+    /// Whether the daemon takes requests: 200 or 503.
+    Readiness,
+    /// The metrics in the OpenMetrics text format.
+    Metrics,
+}
+
+/// Answers one kind of question, whatever the path.
+pub async fn serve(listener: TcpListener, question: ShortQuestion, state: Arc<FleetState>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let state = Arc::clone(&state);
                 tokio::spawn(async move {
-                    if let Err(error) = answer(stream, &state).await {
+                    if let Err(error) = answer(stream, question, &state).await {
                         log::debug!("readiness: A connection ended early: {error}.");
                     }
                 });
@@ -38,7 +47,11 @@
     }
 }
 
-async fn answer(mut stream: TcpStream, state: &FleetState) -> io::Result<()> {
+async fn answer(
+    mut stream: TcpStream,
+    question: ShortQuestion,
+    state: &FleetState,
+) -> io::Result<()> {
     let mut input = BytesMut::new();
     loop {
         let head = loop {
@@ -52,13 +65,15 @@
             }
         };
         let keeps = head.keeps_connection();
-        let status = if state.is_ready() {
-            "200 OK"
-        } else {
-            "503 Service Unavailable"
+        let (status, body) = match question {
+            ShortQuestion::Metrics => ("200 OK", state.metrics_text()),
+            ShortQuestion::Readiness if state.is_ready() => ("200 OK", String::new()),
+            ShortQuestion::Readiness => ("503 Service Unavailable", String::new()),
         };
         let connection = if keeps { "" } else { "Connection: close\r\n" };
-        let message = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n{connection}\r\n");
+        let length = body.len();
+        let message =
+            format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{connection}\r\n{body}");
         stream.write_all(message.as_bytes()).await?;
         if !keeps {
             return stream.shutdown().await;
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -14,6 +14,7 @@
 pub mod http_client;
 pub mod http_server;
 mod lifecycle_routes;
+pub mod line_queue;
 pub mod logging;
 pub mod metrics;
 pub mod metrics_attempts;
--- a/src/shell/logging.rs
+++ b/src/shell/logging.rs
@@ -1,16 +1,25 @@
-//! Log of the daemon on the standard error stream.
+//! Log of the daemon.
 
+use super::line_queue::LineQueue;
 use crate::{
     common::*,
     settings::{LogFormat, LogSettings},
 };
+use fern::Output;
 use humantime::format_rfc3339_millis;
-use log::{LevelFilter, Record};
-use std::{io, time::SystemTime};
+use log::{
+    LevelFilter, Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+use serde_json::Map;
+use std::{
+    io::{self, Write},
+    time::SystemTime,
+};
 
-/// The log cannot be set up, because the process already has one.
+/// The log cannot be set up, because the process already has one or can start no thread for it.
 #[derive(Clone, Copy, Debug, Error)]
-#[error("The process already has a log.")]
+#[error("The process already has a log, or no thread can be started for it.")]
 pub struct LogError;
 
 #[derive(Serialize)]
@@ -19,10 +28,38 @@
     level: &'a str,
     part: &'a str,
     message: &'a str,
+    #[serde(flatten)]
+    fields: Map<String, serde_json::Value>,
+}
+
+/// Collects the fields of a record.
+#[derive(Default)]
+struct FieldVisitor(Map<String, serde_json::Value>);
+
+impl<'a> VisitSource<'a> for FieldVisitor {
+    fn visit_pair(&mut self, key: Key<'a>, value: Value<'a>) -> Result<(), Error> {
+        let number = value.to_u64().map(serde_json::Value::from);
+        let number = number.or_else(|| value.to_f64().map(serde_json::Value::from));
+        let value = number.unwrap_or_else(|| value.to_string().into());
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
 }
 
-/// Sets up the log. Libraries log at `warn` and above, whatever the level in the settings.
+/// Sets up the log on the standard error stream. Libraries log at `warn` and above, whatever the level
+/// in the settings.
 pub fn init(settings: &LogSettings) -> Result<(), LogError> {
+    init_output(settings, io::stderr().into())
+}
+
+/// Sets up the log on the standard output behind a bounded queue, so that it never blocks.
+pub fn init_queued(settings: &LogSettings) -> Result<(), LogError> {
+    let queue = LineQueue::start(io::stdout()).map_err(|_| LogError)?;
+    let writer: Box<dyn Write + Send> = Box::new(queue);
+    init_output(settings, writer.into())
+}
+
+fn init_output(settings: &LogSettings, output: Output) -> Result<(), LogError> {
     let format = settings.format;
     fern::Dispatch::new()
         .format(move |out, message, record| {
@@ -31,7 +68,7 @@
         })
         .level(LevelFilter::Warn)
         .level_for(env!("CARGO_CRATE_NAME"), settings.level.into())
-        .chain(io::stderr())
+        .chain(output)
         .apply()
         .map_err(|_| LogError)
 }
@@ -40,9 +77,17 @@
 /// text from outside cannot forge a line.
 pub fn format_line(format: LogFormat, time: SystemTime, record: &Record, message: &str) -> String {
     let time = format_rfc3339_millis(time).to_string();
+    let mut visitor = FieldVisitor::default();
+    // The visitor accepts all values.
+    let _ = record.key_values().visit(&mut visitor);
+    let fields = visitor.0;
     match format {
         LogFormat::Text => {
-            let message = message.replace(char::is_control, " ");
+            let fields: String = fields
+                .iter()
+                .map(|(key, value)| format!(" {key}={value}"))
+                .collect();
+            let message = format!("{message}{fields}").replace(char::is_control, " ");
             format!("{time} {:5} {message}", record.level())
         }
         LogFormat::Json => {
@@ -52,6 +97,7 @@
                 level: record.level().as_str(),
                 part,
                 message,
+                fields,
             };
             serde_json::to_string(&line).unwrap_or_default()
         }
--- a/src/subcommand/sidecar.rs
+++ b/src/subcommand/sidecar.rs
@@ -21,7 +21,7 @@
 
 pub(super) fn sidecar(arguments: &SidecarArguments) -> Result<(), SubcommandError> {
     let settings = MeshSettings::load(&arguments.settings)?;
-    logging::init(&settings.log)?;
+    logging::init_queued(&settings.log)?;
     // The machines run one thread at a time, so that more threads only add switches.
     let runtime = Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod decoders;
 mod framing;
+mod lines;
 mod links;
 mod members;
 mod path;
