--- a/src/shell/line_queue.rs
+++ b/src/shell/line_queue.rs
@@ -21,6 +21,7 @@
 pub struct LineQueue {
     lines: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    partial: Vec<u8>,
     second: Instant,
     taken: u32,
 }
@@ -37,24 +38,35 @@
         Ok(Self {
             lines,
             dropped,
+            partial: Vec::new(),
             second: Instant::now(),
             taken: 0,
         })
     }
 }
 
-impl Write for LineQueue {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+impl LineQueue {
+    fn queue(&mut self, line: Vec<u8>) {
         let now = Instant::now();
         if now >= self.second + Duration::from_secs(1) {
             (self.second, self.taken) = (now, 0);
         }
         self.taken += 1;
-        let is_taken = self.taken <= LINES_PER_SECOND && self.lines.try_send(line.to_vec()).is_ok();
+        let is_taken = self.taken <= LINES_PER_SECOND && self.lines.try_send(line).is_ok();
         if !is_taken {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(line.len())
+    }
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.partial.extend_from_slice(bytes);
+        if self.partial.ends_with(b"\n") {
+            let line = std::mem::take(&mut self.partial);
+            self.queue(line);
+        }
+        Ok(bytes.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
