--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -53,7 +53,7 @@
 const USE_WEIGHT: f64 = 0.4;
 
 /// Least correction of a service's capacity.
-const MIN_CORRECTION: f64 = 0.6;
+const MIN_CORRECTION: f64 = 0.3;
 
 /// Largest correction while requests are refused: the plan then overestimates their cost.
 const MAX_CORRECTION: f64 = 1.5;
@@ -63,8 +63,9 @@
 const MAX_IDLE_CORRECTION: f64 = 1.2;
 
 /// Share of each route's requests that is admitted before the order of priority counts, so that no kind
-/// of request is shut out.
-const LEAST_SHARE: f64 = 0.1;
+/// of request is shut out. Callers send each refused request about once more, so that this is about
+/// three tenths of what they want.
+const LEAST_SHARE: f64 = 0.15;
 
 /// Runs of one service that one request of a route causes.
 #[derive(Clone, Debug, PartialEq)]
