--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -46,14 +46,14 @@
 const FREE_USE: f64 = 0.85;
 
 /// Largest factor on the correction of a service's capacity in one plan.
-const MAX_RISE: f64 = 1.08;
+const MAX_RISE: f64 = 1.12;
 
 /// Weight of a new load report in the mean use of a service. Runs take up to a second, so that single
 /// reports vary much more than the load.
 const USE_WEIGHT: f64 = 0.4;
 
 /// Least correction of a service's capacity.
-const MIN_CORRECTION: f64 = 0.3;
+const MIN_CORRECTION: f64 = 0.5;
 
 /// Largest correction while requests are refused: the plan then overestimates their cost.
 const MAX_CORRECTION: f64 = 1.5;
--- a/tests/mesh/admission.rs
+++ b/tests/mesh/admission.rs
@@ -157,7 +157,8 @@
     assert!(plan.is_shedding());
 }
 
-/// Load pattern: hard overload. Guards against kinds of request that are shut out altogether.
+/// Load pattern: hard overload, as when one slow server is left of a deep service. Guards against kinds of
+/// request that are shut out: with a tenth for each, under a quarter of all requests was served then.
 #[test]
 fn each_kind_keeps_a_least_share() {
     let load = Load {
@@ -168,7 +169,7 @@
     };
     let [book, status, browse] = shares(&plan(&load, 3));
     assert!(book > status.max(browse), "{book} {status} {browse}");
-    assert!(status > 0.03 && browse > 0.03, "{status} {browse}");
+    assert!(status > 0.14 && browse > 0.14, "{status} {browse}");
 }
 
 /// Guards against requests on a route that was just added, of which nothing is known.
