Give the attempts at one request a file of their own

Cause: src/mesh/entry.rs had two jobs in 584 lines: the way of a request and what the ends of its attempts say.

Measured: the tests pass as before.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -4,6 +4,7 @@
 //! chooses an instance and sends the request over a [`peer_link`] to the daemon beside it, which
 //! admits it to its backend server ([`executor`]).
 
+pub mod attempt_history;
 pub mod backend_pool;
 pub mod caller_connection;
 pub mod context_headers;
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -9,11 +9,10 @@
     },
     http1::message_head::RequestHead,
     mesh::{
+        attempt_history::{AttemptHistory, MAX_REFUSALS, attempt_end, describe_end},
         entry_answer::{CallerRequest, EntryAnswer, OwnAnswer},
         fleet_state::FleetState,
-        peer_frame::{
-            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunAnswer, RunEnd, UnknownReason,
-        },
+        peer_frame::{CallFrame, NESTED_CLASS, ReplyFrame, RunAnswer},
         peer_link::CallEnd,
         peer_links::PeerLinks,
     },
@@ -26,9 +25,6 @@
 /// Time before the end of the caller's patience at which it gets its answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(80);
 
-/// Most instances that are asked for room for one request.
-const MAX_REFUSALS: usize = 4;
-
 /// Longest time after which a refused caller without a route may come back.
 const DEFAULT_RETURN_TIME: Duration = Duration::from_millis(600);
 
@@ -77,17 +73,6 @@
     return_time: Duration,
 }
 
-/// State of the attempts at one request.
-#[derive(Default)]
-struct AttemptHistory {
-    tried: Vec<InstanceKey>,
-    /// Instances whose backend server may have seen the request.
-    reached: u32,
-    refusals: usize,
-    may_have_run: bool,
-    failure: Option<RunAnswer>,
-}
-
 impl RequestEntry {
     /// Creates the entry.
     pub fn new(state: Arc<FleetState>, links: Arc<PeerLinks>) -> Self {
@@ -283,7 +268,7 @@
             };
             match self.attempt(request, &instance, patience).await {
                 Some(end) => {
-                    if let Some(answer) = history.record(end, request) {
+                    if let Some(answer) = history.record(end, request.route) {
                         return answer;
                     }
                 }
@@ -470,68 +455,6 @@
     }
 }
 
-impl AttemptHistory {
-    /// Records the end of an attempt; returns the final answer if there is one.
-    fn record(
-        &mut self,
-        end: CallEnd,
-        request: &EnteredRequest<'_>,
-    ) -> Option<Result<RunAnswer, OwnAnswer>> {
-        let is_repeatable = request.route.rule == RunRule::Repeatable;
-        match end {
-            CallEnd::NotSent => self.refusals += 1,
-            CallEnd::Lost => {
-                self.reached += 1;
-                self.may_have_run = true;
-            }
-            CallEnd::Reply(reply) => match reply.end.clone() {
-                RunEnd::Answered(answer) => {
-                    if answer.status < 500 || !is_repeatable {
-                        return Some(Ok(answer));
-                    }
-                    self.reached += 1;
-                    self.may_have_run = true;
-                    self.failure = Some(answer);
-                }
-                RunEnd::NotRun(reason) => match reason {
-                    NotRunReason::Refused => self.reached += 1,
-                    NotRunReason::Expired => return Some(self.end(OwnAnswer::Expired)),
-                    _ => self.refusals += 1,
-                },
-                RunEnd::Unknown(reason) => {
-                    self.reached += 1;
-                    self.may_have_run = true;
-                    if reason == UnknownReason::Timeout {
-                        return Some(self.end(OwnAnswer::Timeout));
-                    }
-                }
-            },
-        }
-        if self.may_have_run && !is_repeatable {
-            return Some(self.end(OwnAnswer::Lost));
-        }
-        if self.reached >= request.route.max_attempts {
-            return Some(self.end(OwnAnswer::Budget));
-        }
-        if self.refusals >= MAX_REFUSALS {
-            return Some(self.end(OwnAnswer::Busy));
-        }
-        None
-    }
-
-    /// Returns the final answer when no further attempt is made.
-    fn end(&mut self, reason: OwnAnswer) -> Result<RunAnswer, OwnAnswer> {
-        if let Some(answer) = self.failure.take() {
-            return Ok(answer);
-        }
-        Err(match reason {
-            OwnAnswer::Timeout => OwnAnswer::Timeout,
-            _ if self.may_have_run => OwnAnswer::Lost,
-            reason => reason,
-        })
-    }
-}
-
 /// Reports the end of an attempt, also when the caller leaves.
 struct AttemptGuard<'a> {
     state: &'a FleetState,
@@ -545,40 +468,3 @@
         self.state.choice.lock().finish(self.key, self.end, now);
     }
 }
-
-/// Describes the end of an attempt in one line.
-fn describe_end(end: &CallEnd) -> SmolStr {
-    match end {
-        CallEnd::NotSent => SmolStr::new_static("not sent"),
-        CallEnd::Lost => SmolStr::new_static("connection lost"),
-        CallEnd::Reply(reply) => {
-            let load = reply.load;
-            let end = match &reply.end {
-                RunEnd::Answered(answer) => format_smolstr!("status {}", answer.status),
-                RunEnd::NotRun(reason) => format_smolstr!("not run: {reason:?}"),
-                RunEnd::Unknown(reason) => format_smolstr!("unknown: {reason:?}"),
-            };
-            format_smolstr!(
-                "{end}, {} of {} slots, {} queued",
-                load.in_flight,
-                load.limit,
-                load.queued
-            )
-        }
-    }
-}
-
-fn attempt_end(end: &RunEnd) -> AttemptEnd {
-    match end {
-        RunEnd::Answered(answer) if answer.status < 500 => AttemptEnd::Answered,
-        RunEnd::Answered(_) | RunEnd::Unknown(_) => AttemptEnd::Failed,
-        RunEnd::NotRun(reason) => match reason {
-            NotRunReason::Busy
-            | NotRunReason::Cut
-            | NotRunReason::Expired
-            | NotRunReason::OtherInstance => AttemptEnd::Busy,
-            NotRunReason::Leaving => AttemptEnd::Leaving,
-            NotRunReason::Refused | NotRunReason::Unreachable => AttemptEnd::Failed,
-        },
-    }
-}
