Answer a daemon on its latest connection only

Cause: a listener sent answers on the connection whose greeting it read last. A greeting of an earlier connection that was held up on the way took over the answers; when that connection then ended, the daemon had no connection for answers at all, while signs of life on the current one went on. All calls between the two daemons then ran and ended in "no end in time" for as long as the connection lasted.

Ruled out: a gate that is full and a route that changed; other daemons used the same instance meanwhile, and the log of the sender has no lost connection.

Change: the greeting carries a counter of the sender's connections; a listener ends a connection with an earlier counter. The test in links.rs sends two greetings in the wrong order; without the change it waits for ever.

--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -231,6 +231,7 @@
             is_leaving: self.is_leaving(),
             config_version: version,
             members: self.members() as u32,
+            connection: 0,
         }
     }
 
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -67,6 +67,9 @@
     pub config_version: u64,
     /// Number of members that the daemon knows.
     pub members: u32,
+    /// Counter of the sender's connections to this peer, so that messages of an earlier connection
+    /// that arrive late are told apart. Listeners send 0.
+    pub connection: u32,
 }
 
 /// Request to run.
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -257,7 +257,11 @@
         let (mut reader, mut writer) = stream.split();
         let mut input = BytesMut::new();
         let mut output = BytesMut::new();
-        PeerFrame::Hello(self.observer.hello()).encode(&mut output);
+        let hello = HelloFrame {
+            connection: self.connection,
+            ..self.observer.hello()
+        };
+        PeerFrame::Hello(hello).encode(&mut output);
         let numbers = self.link.sent_numbers();
         if !numbers.is_empty() {
             PeerFrame::Resume { numbers }.encode(&mut output);
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -40,7 +40,14 @@
     state: Arc<FleetState>,
     runs: Mutex<RunTable<Arc<ReplyFrame>>>,
     tasks: Mutex<IndexMap<RunId, AbortHandle>>,
-    senders: Mutex<IndexMap<u64, Outbox>>,
+    senders: Mutex<IndexMap<u64, CurrentConnection>>,
+}
+
+/// Connection of a sender on which its answers go.
+struct CurrentConnection {
+    /// Counter of the sender's connections.
+    number: u32,
+    outbox: Outbox,
 }
 
 impl PeerListener {
@@ -135,8 +142,8 @@
         };
         let now = self.state.clock.now();
         self.runs.lock().finish(id, Arc::clone(&reply), bytes, now);
-        if let Some(outbox) = self.senders.lock().get(&id.sender) {
-            let _ = outbox.send(PeerFrame::Reply(reply));
+        if let Some(current) = self.senders.lock().get(&id.sender) {
+            let _ = current.outbox.send(PeerFrame::Reply(reply));
         }
     }
 
@@ -212,7 +219,12 @@
                     }
                     loop {
                         match PeerFrame::take(&mut input) {
-                            Ok(Some(frame)) => self.receive(frame, outbox, &mut output),
+                            Ok(Some(PeerFrame::Hello(hello))) => {
+                                if !self.greet(&hello, outbox) {
+                                    return io::Error::other("a later connection is in use");
+                                }
+                            }
+                            Ok(Some(frame)) => self.receive(frame, &mut output),
                             Ok(None) => break,
                             Err(error) => return io::Error::other(error),
                         }
@@ -222,12 +234,8 @@
         }
     }
 
-    fn receive(&mut self, frame: PeerFrame, outbox: &Outbox, output: &mut BytesMut) {
+    fn receive(&mut self, frame: PeerFrame, output: &mut BytesMut) {
         let listener = Arc::clone(&self.listener);
-        if let PeerFrame::Hello(hello) = frame {
-            self.greet(&hello, outbox);
-            return;
-        }
         let Some(sender) = self.sender else {
             return;
         };
@@ -265,16 +273,26 @@
         }
     }
 
-    fn greet(&mut self, hello: &HelloFrame, outbox: &Outbox) {
-        self.sender = Some(hello.daemon);
+    /// Learns who the sender is; returns false if it uses a later connection by now.
+    fn greet(&mut self, hello: &HelloFrame, outbox: &Outbox) -> bool {
         let mut senders = self.listener.senders.lock();
-        senders.insert(hello.daemon, outbox.clone());
+        let known = senders.get(&hello.daemon);
+        if known.is_some_and(|current| current.number > hello.connection) {
+            return false;
+        }
+        let current = CurrentConnection {
+            number: hello.connection,
+            outbox: outbox.clone(),
+        };
+        senders.insert(hello.daemon, current);
         drop(senders);
+        self.sender = Some(hello.daemon);
         let now = self.listener.state.clock.now();
         let mut choice = self.listener.state.choice.lock();
         choice.set_leaving(hello.ip, hello.is_leaving, now);
         drop(choice);
         self.peer_ip = Some(hello.ip);
+        true
     }
 
     fn set_leaving(&self, is_leaving: bool) {
@@ -300,7 +318,7 @@
         let mut senders = self.listener.senders.lock();
         if senders
             .get(&sender)
-            .is_some_and(|current| current.same_channel(outbox))
+            .is_some_and(|current| current.outbox.same_channel(outbox))
         {
             senders.swap_remove(&sender);
             let now = self.listener.state.clock.now();
--- a/tests/mesh/links.rs
+++ b/tests/mesh/links.rs
@@ -1,13 +1,13 @@
 //! Links between daemons through a proxy that resets or silences them.
 
 use crate::stand_ins::{BackendStandIn, Behaviour, free_port, host};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use skylarkstream::{
     decision::clock::SystemClock,
     mesh::{
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
-        peer_frame::{CallFrame, HelloFrame, NESTED_CLASS, RunEnd},
+        peer_frame::{CallFrame, HelloFrame, NESTED_CLASS, PeerFrame, RunEnd},
         peer_link::{CallEnd, LinkObserver, PeerLink},
         peer_listener::PeerListener,
     },
@@ -22,7 +22,7 @@
     time::{Duration, Instant},
 };
 use tokio::{
-    io::copy_bidirectional,
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
     sync::watch,
 };
@@ -41,6 +41,7 @@
             is_leaving: false,
             config_version: 0,
             members: 0,
+            connection: 0,
         }
     }
 
@@ -96,6 +97,7 @@
 }
 
 struct Scenario {
+    peer: SocketAddr,
     backend: Arc<BackendStandIn>,
     proxy: LinkProxy,
     link: Arc<PeerLink>,
@@ -121,6 +123,7 @@
         tokio::spawn(PeerListener::new(state).serve(listener));
         let proxy = LinkProxy::start(peer).await;
         Self {
+            peer,
             backend: BackendStandIn::start(backend, "i-1").await,
             link: PeerLink::start(proxy.address, Arc::new(Observer)),
             proxy,
@@ -235,3 +238,54 @@
     };
     assert!(matches!(reply.end, RunEnd::Answered(_)), "{:?}", reply.end);
 }
+
+/// Guards against answers that go to an earlier connection of a daemon, because its greeting was held
+/// up on the way and arrives after that of the current one.
+#[tokio::test]
+async fn greeting_of_an_earlier_connection_does_not_take_the_answers() {
+    let scenario = Scenario::start().await;
+    let hello = |connection| {
+        let hello = HelloFrame {
+            connection,
+            ..Observer.hello()
+        };
+        PeerFrame::Hello(hello)
+    };
+    let mut earlier = TcpStream::connect(scenario.peer).await.expect("a link");
+    let mut current = TcpStream::connect(scenario.peer).await.expect("a link");
+    let mut bytes = BytesMut::new();
+    hello(2).encode(&mut bytes);
+    current.write_all(&bytes).await.expect("a greeting");
+    wait_for_pong(&mut current).await;
+    bytes.clear();
+    hello(1).encode(&mut bytes);
+    earlier.write_all(&bytes).await.expect("a greeting");
+    // The listener ends the earlier connection after its own greeting.
+    let mut rest = Vec::new();
+    earlier.read_to_end(&mut rest).await.expect("the end");
+    bytes.clear();
+    PeerFrame::Call(Box::new(scenario.call(1))).encode(&mut bytes);
+    current.write_all(&bytes).await.expect("a call");
+    let is_reply = |frame: &PeerFrame| matches!(frame, PeerFrame::Reply(_));
+    wait_for(&mut current, is_reply).await;
+}
+
+async fn wait_for_pong(stream: &mut TcpStream) {
+    let mut bytes = BytesMut::new();
+    PeerFrame::Ping.encode(&mut bytes);
+    stream.write_all(&bytes).await.expect("a ping");
+    wait_for(stream, |frame| matches!(frame, PeerFrame::Pong)).await;
+}
+
+async fn wait_for(stream: &mut TcpStream, is_expected: impl Fn(&PeerFrame) -> bool) {
+    let mut input = BytesMut::new();
+    loop {
+        while let Some(frame) = PeerFrame::take(&mut input).expect("a message") {
+            if is_expected(&frame) {
+                return;
+            }
+        }
+        let count = stream.read_buf(&mut input).await.expect("bytes");
+        assert!(count > 0, "the connection ended");
+    }
+}
