--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../fixed_seeds/mod.rs"]
 mod fixed_seeds;
+#[path = "../support/http_text.rs"]
+mod http_text;
 
 mod admission;
 mod budget;
--- a/tests/mesh/path.rs
+++ b/tests/mesh/path.rs
@@ -1,7 +1,8 @@
 //! Whole path: store, daemons and backend servers on loopback addresses.
 
-use crate::stand_ins::{
-    BackendStandIn, Behaviour, StoreStandIn, field, free_port, host, read_message,
+use crate::{
+    http_text::{field, read_message},
+    stand_ins::{BackendStandIn, Behaviour, StoreStandIn, free_port, host},
 };
 use skylarkstream::{
     mesh::{mesh_daemon, mesh_settings::MeshSettings},
