Let two daemons of each data centre read the store

Cause: each daemon watched the store, so that each change of an entry answered the watches of all daemons. Ruled out: the length of a watch; 5 s without a change would give 0.4 calls a second and daemon, and 2.5 were made.

Change: a daemon starts to read when it hears of fewer than two others in its data centre that the store answers, and stops when two with smaller numbers read. News carry the revisions between which they lie; load messages carry the revision that a reader knows, so that a daemon that missed news asks for all. Removals that were told do not wait for the own contact with the store, and those told right after an outage wait for the entries that lapsed. Watches pause for 150 ms after a change. A daemon that gives up on a request that was still queued for a connection knows that it never ran.

--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -9,6 +9,8 @@
 pub mod instance_choice;
 pub mod latency_book;
 pub mod load_summary;
+pub mod news_gap;
+pub mod reader_rota;
 pub mod route_table;
 pub mod run_table;
 pub mod weighted_spread;
--- a/src/decision/mesh/fleet_view.rs
+++ b/src/decision/mesh/fleet_view.rs
@@ -55,6 +55,8 @@
 struct Removal {
     revision: u64,
     effective: Instant,
+    /// Whether the entry may be back as soon as this daemon reads the store again.
+    waits_for_store: bool,
 }
 
 /// Whether the store can be read.
@@ -99,8 +101,44 @@
         }
     }
 
-    /// Merges an item; returns whether it was news.
+    /// Returns when the store came back, while entries that lapsed meanwhile may still be missing.
+    pub fn returned(&self, now: Instant) -> Option<Instant> {
+        match self.store {
+            StoreState::Reachable => None,
+            StoreState::Away => Some(now),
+            StoreState::BackSince(since) => (now < since + LAPSE_GRACE).then_some(since),
+        }
+    }
+
+    /// Returns whether the store did not answer lately.
+    pub fn is_store_away(&self) -> bool {
+        self.store == StoreState::Away
+    }
+
+    /// Merges an item that this daemon read; returns whether it was news.
     pub fn apply(&mut self, item: &EntryItem, now: Instant) -> bool {
+        self.merge(item, self.own_removal(now), now)
+    }
+
+    /// Merges an item that another daemon read, for which the store came back at `returned`; returns
+    /// whether it was news.
+    pub fn apply_told(
+        &mut self,
+        item: &EntryItem,
+        returned: Option<Instant>,
+        now: Instant,
+    ) -> bool {
+        self.merge(item, told_removal(returned, now), now)
+    }
+
+    /// Returns when the removal of a ready entry that this daemon reads is in force, and whether it
+    /// waits for the store.
+    fn own_removal(&self, now: Instant) -> (Instant, bool) {
+        let since = self.returned(now);
+        (since.map_or(now, |since| since + LAPSE_GRACE), true)
+    }
+
+    fn merge(&mut self, item: &EntryItem, removal: (Instant, bool), now: Instant) -> bool {
         let known = self.members.get(&item.id).map_or(0, |state| {
             state
                 .removed
@@ -120,16 +158,38 @@
                 };
                 self.members.insert(item.id.clone(), state);
             }
-            None => self.remove(&item.id, item.revision, now),
+            None => self.remove(&item.id, item.revision, removal, now),
         }
         true
     }
 
-    /// Merges a complete list that was read at `revision`: members that are not in it are gone.
-    pub fn reconcile(&mut self, items: &[EntryItem], revision: u64, now: Instant) -> bool {
-        let mut is_news = false;
+    /// Merges a complete list that this daemon read at `revision`: members that are not in it are gone.
+    /// Returns those.
+    pub fn reconcile(&mut self, items: &[EntryItem], revision: u64, now: Instant) -> Vec<SmolStr> {
+        self.merge_all(items, revision, self.own_removal(now), now)
+    }
+
+    /// Merges a complete list that another daemon has as of `revision`, for which the store came back at
+    /// `returned`; returns the members that are gone.
+    pub fn reconcile_told(
+        &mut self,
+        items: &[EntryItem],
+        revision: u64,
+        returned: Option<Instant>,
+        now: Instant,
+    ) -> Vec<SmolStr> {
+        self.merge_all(items, revision, told_removal(returned, now), now)
+    }
+
+    fn merge_all(
+        &mut self,
+        items: &[EntryItem],
+        revision: u64,
+        removal: (Instant, bool),
+        now: Instant,
+    ) -> Vec<SmolStr> {
         for item in items {
-            is_news |= self.apply(item, now);
+            self.merge(item, removal, now);
         }
         let missing: Vec<SmolStr> = self
             .members
@@ -141,14 +201,13 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        for id in missing {
-            self.remove(&id, revision, now);
-            is_news = true;
+        for id in &missing {
+            self.remove(id, revision, removal, now);
         }
-        is_news
+        missing
     }
 
-    fn remove(&mut self, id: &SmolStr, revision: u64, now: Instant) {
+    fn remove(&mut self, id: &SmolStr, revision: u64, lapse: (Instant, bool), now: Instant) {
         let Some(state) = self.members.get_mut(id) else {
             if self.removed.len() >= MAX_REMOVED {
                 self.removed.swap_remove_index(0);
@@ -158,16 +217,11 @@
         };
         // A ready entry that vanishes while the store is away has lapsed without a departure.
         let may_be_lapse = state.entry.state == ServingState::Ready;
-        let effective = match self.store {
-            StoreState::BackSince(since) if may_be_lapse && now < since + LAPSE_GRACE => {
-                since + LAPSE_GRACE
-            }
-            StoreState::Away if may_be_lapse => now + LAPSE_GRACE,
-            _ => now,
-        };
+        let (effective, waits_for_store) = if may_be_lapse { lapse } else { (now, false) };
         state.removed = Some(Removal {
             revision,
             effective,
+            waits_for_store,
         });
     }
 
@@ -179,8 +233,7 @@
             .iter()
             .filter_map(|(id, state)| {
                 let removal = state.removed?;
-                let is_due = removal.effective <= now
-                    && !(is_away && state.entry.state == ServingState::Ready);
+                let is_due = removal.effective <= now && !(is_away && removal.waits_for_store);
                 is_due.then(|| (id.clone(), removal.revision))
             })
             .collect();
@@ -205,6 +258,12 @@
     }
 }
 
+/// Returns when the removal of a ready entry that another daemon read is in force. It does not depend on
+/// whether this daemon reads the store.
+fn told_removal(returned: Option<Instant>, now: Instant) -> (Instant, bool) {
+    (returned.map_or(now, |since| since + LAPSE_GRACE), false)
+}
+
 impl Default for FleetView {
     fn default() -> Self {
         Self::new()
--- a/src/decision/mesh/instance_choice.rs
+++ b/src/decision/mesh/instance_choice.rs
@@ -56,7 +56,7 @@
 const COLD_FACTOR: f64 = 2.0;
 
 /// Load messages that a daemon may miss before it counts as doubtful.
-const MISSED_MESSAGES: u32 = 3;
+pub const MISSED_MESSAGES: u32 = 3;
 
 /// Fewest known instances of which a daemon can tell that it is isolated.
 const MIN_ISOLATED: usize = 5;
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -10,7 +10,8 @@
             entry_admission::EntryAdmission,
             fleet_view::{EntryItem, FleetView},
             instance_choice::InstanceChoice,
-            load_summary::LoadSummary,
+            news_gap::NewsGap,
+            reader_rota::{ReaderRota, StoreContact},
             route_table::RouteTable,
             weighted_spread::WeightedSpread,
         },
@@ -20,7 +21,7 @@
         executor::Executor,
         mesh_metrics::MeshMetrics,
         mesh_settings::MeshSettings,
-        peer_frame::HelloFrame,
+        peer_frame::{HelloFrame, LoadFrame, NewsFrame},
         store_interface::{StoreFormat, StoreItem},
     },
 };
@@ -50,6 +51,9 @@
     pub metrics: MeshMetrics,
     /// Admission of root requests.
     pub admission: Mutex<EntryAdmission>,
+    /// Choice of the daemons that read the store.
+    pub rota: Mutex<ReaderRota>,
+    gap: Mutex<NewsGap>,
     planner: Mutex<AdmissionPlanner>,
     plan: Mutex<Arc<AdmissionPlan>>,
     started: Instant,
@@ -95,7 +99,11 @@
             Arc::clone(&clock),
         );
         let choice = InstanceChoice::new(settings.data_centre.clone(), rand::random());
+        let daemon = rand::random();
+        let rota = ReaderRota::new(daemon, settings.data_centre.clone(), clock.now());
         Self {
+            rota: Mutex::new(rota),
+            gap: Mutex::default(),
             started: clock.now(),
             choice: Mutex::new(choice),
             spread: Mutex::new(WeightedSpread::new(rand::random())),
@@ -109,7 +117,7 @@
             headers,
             format,
             clock,
-            daemon: rand::random(),
+            daemon,
             view: Mutex::default(),
             items: Mutex::default(),
             routes: Mutex::default(),
@@ -247,14 +255,33 @@
         Arc::clone(&self.plan.lock())
     }
 
-    /// Takes the load summary of another daemon.
-    pub fn learn_load(&self, summary: &LoadSummary) {
+    /// Takes the load of another daemon; returns whether to ask it for all that it knows of the store.
+    pub fn learn_load(&self, load: &LoadFrame) -> bool {
         let now = self.clock.now();
-        self.planner.lock().learn(summary.clone(), now);
+        let daemon = load.summary.daemon;
+        self.planner.lock().learn(load.summary.clone(), now);
+        self.rota.lock().learn(daemon, &load.store, now);
+        let version = self.routes().map_or(0, |routes| routes.version().0);
+        let is_behind = load.store.config_version > version;
+        load.store.is_reading
+            && self
+                .gap
+                .lock()
+                .needs_all(load.store.entries_revision, is_behind, now)
     }
 
-    /// Puts a new plan in force; returns the own load summary for the other daemons.
-    pub fn renew_plan(&self) -> LoadSummary {
+    /// Returns what this daemon tells of its contact with the store.
+    pub fn store_contact(&self) -> StoreContact {
+        StoreContact {
+            data_centre: self.settings.data_centre.clone(),
+            is_reading: self.rota.lock().is_reading() && !self.view.lock().is_store_away(),
+            entries_revision: self.gap.lock().revision(),
+            config_version: self.routes().map_or(0, |routes| routes.version().0),
+        }
+    }
+
+    /// Puts a new plan in force; returns the own load for the other daemons.
+    pub fn renew_plan(&self) -> LoadFrame {
         let now = self.clock.now();
         let summary = self.executor.summary(self.daemon);
         let mut planner = self.planner.lock();
@@ -262,22 +289,98 @@
         if let Some(routes) = self.routes() {
             *self.plan.lock() = Arc::new(planner.plan(&routes, now));
         }
-        summary
+        drop(planner);
+        LoadFrame {
+            summary,
+            store: self.store_contact(),
+        }
     }
 
     /// Returns all that this daemon knows of the store.
-    pub fn all_items(&self) -> Vec<StoreItem> {
+    pub fn all_items(&self) -> NewsFrame {
+        let revision = self.gap.lock().revision();
         let items = self.items.lock();
         let entries = items.entries.values();
-        items.config.iter().chain(entries).cloned().collect()
+        let items = items.config.iter().chain(entries).cloned().collect();
+        self.news(items, revision > 0, 0)
+    }
+
+    fn news(&self, items: Vec<StoreItem>, is_complete: bool, previous: u64) -> NewsFrame {
+        let now = self.clock.now();
+        let returned = self.view.lock().returned(now);
+        NewsFrame {
+            items,
+            is_complete,
+            previous_revision: previous,
+            last_revision: self.gap.lock().revision(),
+            returned_ms: returned.map(|at| now.saturating_duration_since(at).as_millis() as u32),
+        }
+    }
+
+    /// Learns changes that this daemon read; returns what to tell the others.
+    pub fn learn_changes(&self, items: &[StoreItem]) -> NewsFrame {
+        let now = self.clock.now();
+        let apply = |entry: &EntryItem| self.view.lock().apply(entry, now);
+        let news = self.learn_items(items, apply, now);
+        let mut gap = self.gap.lock();
+        let previous = gap.revision();
+        let entries = items.iter().filter(|item| item.instance.is_some());
+        gap.complete(entries.map(|item| item.revision).max().unwrap_or(0));
+        drop(gap);
+        self.news(news, false, previous)
     }
 
-    /// Learns values of the store; returns those that were new.
-    pub fn learn(&self, items: &[StoreItem]) -> Vec<StoreItem> {
+    /// Learns the complete list of the entries that this daemon read as of a revision; returns what to
+    /// tell the others.
+    pub fn learn_entries(&self, items: &[StoreItem], revision: u64) -> NewsFrame {
         let now = self.clock.now();
+        let apply = |entry: &EntryItem| self.view.lock().apply(entry, now);
+        let mut news = self.learn_items(items, apply, now);
+        let entries = self.decode_all(items);
+        let gone = self.view.lock().reconcile(&entries, revision, now);
+        self.forget(&gone, now);
+        news.extend(gone.into_iter().map(|id| StoreItem {
+            is_config: false,
+            instance: Some(id),
+            revision,
+            value: None,
+        }));
+        let mut gap = self.gap.lock();
+        let previous = gap.revision();
+        gap.complete(revision);
+        drop(gap);
+        self.news(news, false, previous)
+    }
+
+    /// Learns what another daemon read.
+    pub fn learn_news(&self, news: &NewsFrame) {
+        let now = self.clock.now();
+        let age = news.returned_ms.map(|ms| Duration::from_millis(ms.into()));
+        let returned = age.map(|age| now.checked_sub(age).unwrap_or(now));
+        let apply = |entry: &EntryItem| self.view.lock().apply_told(entry, returned, now);
+        self.learn_items(&news.items, apply, now);
+        if news.is_complete {
+            let entries = self.decode_all(&news.items);
+            let mut view = self.view.lock();
+            let gone = view.reconcile_told(&entries, news.last_revision, returned, now);
+            drop(view);
+            self.forget(&gone, now);
+            self.gap.lock().complete(news.last_revision);
+            return;
+        }
+        let mut gap = self.gap.lock();
+        gap.extend(news.previous_revision, news.last_revision);
+    }
+
+    fn learn_items(
+        &self,
+        items: &[StoreItem],
+        apply: impl Fn(&EntryItem) -> bool,
+        now: Instant,
+    ) -> Vec<StoreItem> {
         let news: Vec<StoreItem> = items
             .iter()
-            .filter(|item| self.learn_item(item, now))
+            .filter(|item| self.learn_item(item, &apply))
             .cloned()
             .collect();
         if news.iter().any(|item| item.instance.is_some()) {
@@ -286,19 +389,18 @@
         news
     }
 
-    /// Learns the complete list of the entries as of a revision.
-    pub fn learn_entries(&self, items: &[StoreItem], revision: u64) -> Vec<StoreItem> {
-        let now = self.clock.now();
-        let news = self.learn(items);
-        let entries: Vec<EntryItem> = items.iter().filter_map(|item| self.decode(item)).collect();
-        if self.view.lock().reconcile(&entries, revision, now) {
-            self.items
-                .lock()
-                .entries
-                .retain(|id, _| entries.iter().any(|entry| entry.id == *id));
-            self.follow_members(now);
+    fn decode_all(&self, items: &[StoreItem]) -> Vec<EntryItem> {
+        items.iter().filter_map(|item| self.decode(item)).collect()
+    }
+
+    fn forget(&self, gone: &[SmolStr], now: Instant) {
+        if gone.is_empty() {
+            return;
         }
-        news
+        let mut items = self.items.lock();
+        items.entries.retain(|id, _| !gone.contains(id));
+        drop(items);
+        self.follow_members(now);
     }
 
     /// Records that the store does not answer.
@@ -320,14 +422,14 @@
         }
     }
 
-    fn learn_item(&self, item: &StoreItem, now: Instant) -> bool {
+    fn learn_item(&self, item: &StoreItem, apply: impl Fn(&EntryItem) -> bool) -> bool {
         if item.is_config {
             return self.learn_config(item);
         }
         let Some(entry) = self.decode(item) else {
             return false;
         };
-        if !self.view.lock().apply(&entry, now) {
+        if !apply(&entry) {
             return false;
         }
         let mut items = self.items.lock();
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     common::*,
-    decision::{clock::SystemClock, pause_detector::PauseDetector},
+    decision::{
+        clock::SystemClock, mesh::instance_choice::MISSED_MESSAGES, pause_detector::PauseDetector,
+    },
     mesh::{
         caller_connection,
         context_headers::ContextHeaders,
@@ -48,6 +50,9 @@
 /// second.
 const LOAD_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
 
+/// Interval at which a daemon decides whether it reads the store.
+const READER_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time after the signal to end in which clients notice that the daemon is not ready: they ask once
 /// a second and leave after two answers.
 const LEAVE_TIME: Duration = Duration::from_millis(2_500);
@@ -93,12 +98,15 @@
         settings.service
     );
     let links = PeerLinks::new(Arc::clone(&state));
-    let runs = PeerListener::new(Arc::clone(&state));
+    let runs = PeerListener::new(Arc::clone(&state), Arc::clone(&links));
     let entry = Arc::new(RequestEntry::new(Arc::clone(&state), Arc::clone(&links)));
     let mut tasks = JoinSet::new();
+    let (choice, is_chosen) = watch::channel(true);
     for prefix in [StorePrefix::Config, StorePrefix::Entries] {
-        tasks.spawn(StoreReader::new(Arc::clone(&state), Arc::clone(&links), prefix).run());
+        let (state, links) = (Arc::clone(&state), Arc::clone(&links));
+        tasks.spawn(StoreReader::new(state, links, prefix, is_chosen.clone()).run());
     }
+    tasks.spawn(choose_readers(Arc::clone(&state), choice));
     tasks.spawn(Arc::clone(&runs).serve(peer));
     tasks.spawn(caller_connection::serve(outbound, entry));
     let question = ShortQuestion::Readiness;
@@ -156,15 +164,30 @@
     }
 }
 
+/// Decides whether this daemon reads the store.
+async fn choose_readers(state: Arc<FleetState>, choice: watch::Sender<bool>) {
+    loop {
+        tokio::time::sleep(READER_INTERVAL).await;
+        let silence = load_interval(&state) * MISSED_MESSAGES;
+        let is_chosen = state.rota.lock().decide(silence, state.clock.now());
+        choice.send_if_modified(|known| std::mem::replace(known, is_chosen) != is_chosen);
+    }
+}
+
+/// Returns the interval at which daemons tell each other their load.
+fn load_interval(state: &FleetState) -> Duration {
+    let members = u32::try_from(state.members()).unwrap_or(u32::MAX);
+    MIN_LOAD_INTERVAL.max(LOAD_INTERVAL_PER_DAEMON * members)
+}
+
 /// Tells the other daemons the own load and renews the plan.
 async fn tell_load(state: Arc<FleetState>, links: Arc<PeerLinks>) {
     loop {
-        let summary = state.renew_plan();
+        let load = state.renew_plan();
         if !state.is_leaving() {
-            links.broadcast(&PeerFrame::Load(Arc::new(summary)));
+            links.broadcast(&PeerFrame::Load(Arc::new(load)));
         }
-        let members = u32::try_from(state.members()).unwrap_or(u32::MAX);
-        let interval = MIN_LOAD_INTERVAL.max(LOAD_INTERVAL_PER_DAEMON * members);
+        let interval = load_interval(&state);
         state.choice.lock().set_load_interval(interval);
         tokio::time::sleep(interval.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
     }
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     common::*,
-    decision::mesh::{instance_choice::LoadReport, load_summary::LoadSummary},
+    decision::mesh::{
+        instance_choice::LoadReport, load_summary::LoadSummary, reader_rota::StoreContact,
+    },
     mesh::store_interface::StoreItem,
 };
 use bytes::{Buf, Bytes, BytesMut};
@@ -47,13 +49,40 @@
     /// Sign of life.
     Pong,
     /// What the sender learned from the store.
-    News(Arc<Vec<StoreItem>>),
-    /// Load of the sender.
-    Load(Arc<LoadSummary>),
+    News(Arc<NewsFrame>),
+    /// Asks for all that the receiver knows of the store.
+    Fetch,
+    /// Load of the sender and its contact with the store.
+    Load(Arc<LoadFrame>),
     /// The sender takes no new runs.
     Leaving,
 }
 
+/// What a daemon learned from the store.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct NewsFrame {
+    /// Values.
+    pub items: Vec<StoreItem>,
+    /// Whether all entries are among the items, so that others are gone.
+    pub is_complete: bool,
+    /// Revision of the store up to which the sender knew the entries before.
+    pub previous_revision: u64,
+    /// Revision of the store up to which the sender knows the entries.
+    pub last_revision: u64,
+    /// Time since the store came back, in milliseconds, while entries that lapsed meanwhile may still be
+    /// missing.
+    pub returned_ms: Option<u32>,
+}
+
+/// Load of a daemon and its contact with the store.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct LoadFrame {
+    /// Load.
+    pub summary: LoadSummary,
+    /// Contact with the store.
+    pub store: StoreContact,
+}
+
 /// Identity of a daemon.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HelloFrame {
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     common::*,
-    mesh::peer_frame::{CallFrame, HelloFrame, PeerFrame, ReplyFrame},
+    mesh::peer_frame::{CallFrame, HelloFrame, NewsFrame, PeerFrame, ReplyFrame},
 };
 use bytes::BytesMut;
 use std::io;
@@ -10,6 +10,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::{mpsc, oneshot},
+    time::timeout_at,
 };
 
 /// Longest time to make a connection.
@@ -51,6 +52,8 @@
     fn reached(&self, address: SocketAddr, is_reached: bool);
     /// The peer said who it is.
     fn greeted(&self, address: SocketAddr, hello: &HelloFrame);
+    /// The peer told what it knows of the store.
+    fn told(&self, news: &NewsFrame);
     /// Own greeting.
     fn hello(&self) -> HelloFrame;
     /// Current time.
@@ -94,6 +97,20 @@
         self.is_ended = true;
         end.unwrap_or(CallEnd::Lost)
     }
+
+    /// Waits for the end of the run until `limit`. A request that was not sent by then never will be;
+    /// for others `None` is returned, and the run is cancelled.
+    pub async fn end_by(mut self, limit: Instant) -> Option<CallEnd> {
+        if let Ok(end) = timeout_at(limit.into(), &mut self.receiver).await {
+            self.is_ended = true;
+            return Some(end.unwrap_or(CallEnd::Lost));
+        }
+        let pending = self.link.pending.lock();
+        let call = pending.get(&self.number)?;
+        let is_sent = call.frame.is_none();
+        drop(pending);
+        (!is_sent).then_some(CallEnd::NotSent)
+    }
 }
 
 impl Drop for LinkCall {
@@ -360,6 +377,7 @@
                 self.peer = Some(hello.daemon);
                 self.observer.greeted(self.link.address, &hello);
             }
+            PeerFrame::News(news) => self.observer.told(&news),
             PeerFrame::Reply(reply) => self.link.end_call(reply.number, CallEnd::Reply(reply)),
             PeerFrame::Resumed {
                 number,
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -4,9 +4,8 @@
     common::*,
     mesh::{
         fleet_state::FleetState,
-        peer_frame::{HelloFrame, PeerFrame},
+        peer_frame::{HelloFrame, NewsFrame, PeerFrame},
         peer_link::{LinkObserver, PeerLink},
-        store_interface::StoreItem,
     },
 };
 use std::sync::Weak;
@@ -57,8 +56,8 @@
     }
 
     /// Sends what was learned from the store to all daemons.
-    pub fn tell(&self, news: Vec<StoreItem>) {
-        if !news.is_empty() {
+    pub fn tell(&self, news: NewsFrame) {
+        if !news.items.is_empty() {
             self.broadcast(&PeerFrame::News(Arc::new(news)));
         }
     }
@@ -105,6 +104,10 @@
         self.tell_all(address, hello);
     }
 
+    fn told(&self, news: &NewsFrame) {
+        self.state.learn_news(news);
+    }
+
     fn hello(&self) -> HelloFrame {
         self.state.hello()
     }
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -5,7 +5,10 @@
     decision::mesh::run_table::{ResumedRun, RunId, RunTable},
     mesh::{
         fleet_state::FleetState,
-        peer_frame::{CallFrame, HelloFrame, NotRunReason, PeerFrame, ReplyFrame, RunEnd},
+        peer_frame::{
+            CallFrame, HelloFrame, LoadFrame, NotRunReason, PeerFrame, ReplyFrame, RunEnd,
+        },
+        peer_links::PeerLinks,
     },
 };
 use bytes::BytesMut;
@@ -38,6 +41,7 @@
 /// Serves other daemons.
 pub struct PeerListener {
     state: Arc<FleetState>,
+    links: Arc<PeerLinks>,
     runs: Mutex<RunTable<Arc<ReplyFrame>>>,
     tasks: Mutex<IndexMap<RunId, AbortHandle>>,
     senders: Mutex<IndexMap<u64, CurrentConnection>>,
@@ -52,9 +56,10 @@
 
 impl PeerListener {
     /// Creates a listener.
-    pub fn new(state: Arc<FleetState>) -> Arc<Self> {
+    pub fn new(state: Arc<FleetState>, links: Arc<PeerLinks>) -> Arc<Self> {
         Arc::new(Self {
             state,
+            links,
             runs: Mutex::default(),
             tasks: Mutex::default(),
             senders: Mutex::default(),
@@ -255,16 +260,11 @@
                 }
             }
             PeerFrame::Ping => PeerFrame::Pong.encode(output),
-            PeerFrame::News(items) => {
-                listener.state.learn(&items);
-            }
-            PeerFrame::Load(summary) => {
-                listener.state.learn_load(&summary);
-                if let Some(ip) = self.peer_ip {
-                    let now = listener.state.clock.now();
-                    listener.state.choice.lock().set_heard(ip, now);
-                }
+            PeerFrame::News(news) => listener.state.learn_news(&news),
+            PeerFrame::Fetch => {
+                PeerFrame::News(Arc::new(listener.state.all_items())).encode(output);
             }
+            PeerFrame::Load(load) => self.receive_load(&load),
             PeerFrame::Leaving => self.set_leaving(true),
             PeerFrame::Hello(_)
             | PeerFrame::Resumed { .. }
@@ -295,6 +295,22 @@
         true
     }
 
+    fn receive_load(&self, load: &LoadFrame) {
+        let state = &self.listener.state;
+        let needs_all = state.learn_load(load);
+        let Some(ip) = self.peer_ip else {
+            return;
+        };
+        state.choice.lock().set_heard(ip, state.clock.now());
+        if needs_all {
+            let address = SocketAddr::new(ip, state.settings.peer.port());
+            log::info!("store: Changes that {address} knows did not arrive.");
+            if let Some(link) = self.listener.links.link(address) {
+                link.send(PeerFrame::Fetch);
+            }
+        }
+    }
+
     fn set_leaving(&self, is_leaving: bool) {
         if let Some(ip) = self.peer_ip {
             let now = self.listener.state.clock.now();
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -9,17 +9,28 @@
         store_interface::{StoreItem, StorePrefix},
     },
 };
+use tokio::sync::watch;
 
 /// Time for which a watch waits for changes. Shorter waits find a silent connection earlier, longer
 /// ones cost fewer calls.
 const WATCH_TIME: Duration = Duration::from_millis(5_000);
 
+/// Pause after changes. Releases write several entries within a second, and each call is paid for.
+const GATHER_TIME: Duration = Duration::from_millis(150);
+
 /// First pause after a failed call; it doubles with each further failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest pause after failed calls.
+/// Longest pause after failed calls of a daemon that reads alone.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
+/// Daemons of a data centre that try to read a lost store once in `MAX_PAUSE` together. The first of them
+/// that is answered tells the others.
+const TRYING_DAEMONS: usize = 6;
+
+/// Longest pause after failed calls of a daemon in a large fleet.
+const MAX_SHARED_PAUSE: Duration = Duration::from_secs(4);
+
 /// Status code of a store that has dropped the history a watch asks for.
 const STATUS_GONE: u16 = 410;
 
@@ -29,22 +40,41 @@
     links: Arc<PeerLinks>,
     prefix: StorePrefix,
     client: StoreClient,
+    is_chosen: watch::Receiver<bool>,
 }
 
 impl StoreReader {
     /// Creates a reader.
-    pub fn new(state: Arc<FleetState>, links: Arc<PeerLinks>, prefix: StorePrefix) -> Self {
+    pub fn new(
+        state: Arc<FleetState>,
+        links: Arc<PeerLinks>,
+        prefix: StorePrefix,
+        is_chosen: watch::Receiver<bool>,
+    ) -> Self {
         let client = StoreClient::new(state.settings.store, Arc::clone(&state.format));
         Self {
             state,
             links,
             prefix,
             client,
+            is_chosen,
         }
     }
 
-    /// Follows the store until the task is dropped.
+    /// Follows the store until the task is dropped, while this daemon is one of those that read it.
     pub async fn run(mut self) {
+        let mut is_chosen = self.is_chosen.clone();
+        while is_chosen.wait_for(|is_chosen| *is_chosen).await.is_ok() {
+            log::info!("store: {:?} is read from now on.", self.prefix);
+            tokio::select! {
+                () = self.follow() => {}
+                _ = is_chosen.wait_for(|is_chosen| !*is_chosen) => {}
+            }
+            log::info!("store: {:?} is read by other daemons.", self.prefix);
+        }
+    }
+
+    async fn follow(&mut self) {
         let mut failures = 0;
         let mut revision = None;
         loop {
@@ -72,7 +102,7 @@
                     self.state.store_lost();
                     // After an outage only a complete list tells what lapsed.
                     revision = None;
-                    tokio::time::sleep(pause(failures)).await;
+                    tokio::time::sleep(self.pause(failures)).await;
                     failures += 1;
                 }
             }
@@ -93,7 +123,7 @@
                 continue;
             }
             let news = match self.prefix {
-                StorePrefix::Config => self.state.learn(&items),
+                StorePrefix::Config => self.state.learn_changes(&items),
                 StorePrefix::Entries => self.state.learn_entries(&items, revision),
             };
             self.links.tell(news);
@@ -103,13 +133,21 @@
 
     async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
         let watch = self.client.watch(self.prefix, revision, WATCH_TIME).await?;
-        let news = self.state.learn(&watch.items);
+        if watch.items.is_empty() {
+            return Ok(watch.revision);
+        }
+        let news = self.state.learn_changes(&watch.items);
         self.links.tell(news);
+        // Changes that follow at once are read together.
+        tokio::time::sleep(GATHER_TIME).await;
         Ok(watch.revision)
     }
-}
 
-fn pause(failures: u32) -> Duration {
-    let pause = (FIRST_PAUSE * 2u32.pow(failures.min(8))).min(MAX_PAUSE);
-    pause.mul_f64(0.5 + rand::random::<f64>())
+    fn pause(&self, failures: u32) -> Duration {
+        let heard = self.state.rota.lock().heard();
+        let share = (heard as f64 / TRYING_DAEMONS as f64).max(1.0);
+        let longest = MAX_PAUSE.mul_f64(share).min(MAX_SHARED_PAUSE);
+        let pause = (FIRST_PAUSE * 2u32.pow(failures.min(8))).min(longest);
+        pause.mul_f64(0.5 + rand::random::<f64>())
+    }
 }
--- a/tests/mesh/links.rs
+++ b/tests/mesh/links.rs
@@ -7,8 +7,9 @@
     mesh::{
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
-        peer_frame::{CallFrame, HelloFrame, NESTED_CLASS, PeerFrame, RunEnd},
+        peer_frame::{CallFrame, HelloFrame, NESTED_CLASS, NewsFrame, PeerFrame, RunEnd},
         peer_link::{CallEnd, LinkObserver, PeerLink},
+        peer_links::PeerLinks,
         peer_listener::PeerListener,
     },
     platform::{context_names::context_headers, store_calls::PlatformStore},
@@ -34,6 +35,8 @@
 
     fn greeted(&self, _: SocketAddr, _: &HelloFrame) {}
 
+    fn told(&self, _: &NewsFrame) {}
+
     fn hello(&self) -> HelloFrame {
         HelloFrame {
             daemon: 5,
@@ -120,7 +123,8 @@
             Arc::new(SystemClock),
         ));
         let listener = TcpListener::bind(peer).await.expect("the address");
-        tokio::spawn(PeerListener::new(state).serve(listener));
+        let links = PeerLinks::new(Arc::clone(&state));
+        tokio::spawn(PeerListener::new(state, links).serve(listener));
         let proxy = LinkProxy::start(peer).await;
         Self {
             peer,
@@ -289,3 +293,19 @@
         assert!(count > 0, "the connection ended");
     }
 }
+
+/// Guards against an answer that says that a request may have run, although it was never sent.
+#[tokio::test]
+async fn request_that_was_not_sent_in_time_is_known_not_to_run() {
+    let scenario = Scenario::start().await;
+    // The driver of the link does not run before this task waits.
+    let call = scenario.link.call(scenario.call(1));
+    let limit = Instant::now() - Duration::from_millis(10);
+    let end = call.end_by(limit).await;
+    assert!(matches!(end, Some(CallEnd::NotSent)), "{end:?}");
+    let CallEnd::Reply(reply) = scenario.link.call(scenario.call(2)).end().await else {
+        panic!("the answer is lost");
+    };
+    assert!(matches!(reply.end, RunEnd::Answered(_)), "{:?}", reply.end);
+    assert_eq!(scenario.backend.run_count(), 1);
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod links;
 mod members;
 mod path;
+mod readers;
 mod routes;
 mod runs;
 mod stand_ins;
