Refuse a request that was not sent in time

Cause: a daemon that found no end of a call in time answered 504, as if the request might have run, also when the request was still queued for a connection. Clients cannot send such a request again if it may run only once.

Change: the call tells whether its request was sent.

--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -318,20 +318,19 @@
             end: AttemptEnd::Abandoned,
         };
         let frame = self.call_frame(request, instance, patience);
-        let calling = async {
-            if instance.address.ip() == self.state.settings.peer.ip() {
-                let reply = self.state.executor.reply(&frame, request.limit).await;
-                return CallEnd::Reply(Arc::new(reply));
-            }
+        let limit = request.limit + VERDICT_TIME;
+        let end = if instance.address.ip() == self.state.settings.peer.ip() {
+            let running = self.state.executor.reply(&frame, request.limit);
+            let reply = timeout_at(limit.into(), running).await;
+            reply.ok().map(|reply| CallEnd::Reply(Arc::new(reply)))
+        } else {
             let port = self.state.settings.peer.port();
             let address = SocketAddr::new(instance.address.ip(), port);
             match self.links.link(address) {
-                Some(link) => link.call(frame).end().await,
-                None => CallEnd::NotSent,
+                Some(link) => link.call(frame).end_by(limit).await,
+                None => Some(CallEnd::NotSent),
             }
         };
-        let limit = request.limit + VERDICT_TIME;
-        let end = timeout_at(limit.into(), calling).await.ok();
         log::info!(
             attempt:% = request.attempt.escape_ascii(),
             instance:% = instance.id,
