Write the lines of failed requests on the users' platform

Cause: the deployed settings had the log level warn, so that an operator found no line of a failed request; the way from its id to its cause in docs/OPERATIONS.md needed settings that were not deployed.

Change: lines of requests and attempts that were served go to level debug; all others stay at info, which is deployed.

--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -132,11 +132,14 @@
             .as_ref()
             .and_then(|routes| routes.find(host, &request.head.target));
         let name = route.map_or(SmolStr::new_static("none"), |route| route.name.clone());
-        if log::log_enabled!(log::Level::Info) {
+        let is_served = matches!(result, Ok(answer) if answer.status < 500);
+        let level = line_level(is_served);
+        if log::log_enabled!(level) {
             let plan = state.plan();
             let planned = plan.route(&name);
             let version = routes.as_ref().map_or(0, |routes| routes.version().0);
-            log::info!(
+            log::log!(
+                level,
                 attempt:% = attempt.escape_ascii(),
                 route:% = name,
                 target:% = request.head.target,
@@ -331,7 +334,10 @@
                 None => Some(CallEnd::NotSent),
             }
         };
-        log::info!(
+        let is_served = matches!(&end, Some(CallEnd::Reply(reply))
+            if attempt_end(&reply.end) == AttemptEnd::Answered);
+        log::log!(
+            line_level(is_served),
             attempt:% = request.attempt.escape_ascii(),
             instance:% = instance.id,
             address:% = instance.address,
@@ -445,6 +451,16 @@
     }
 }
 
+/// Returns the level of a line about a request. Most requests are served, and only the others need to be
+/// explained afterwards.
+fn line_level(is_served: bool) -> log::Level {
+    if is_served {
+        log::Level::Debug
+    } else {
+        log::Level::Info
+    }
+}
+
 impl From<OwnAnswer> for OwnEnd {
     fn from(reason: OwnAnswer) -> Self {
         Self {
