Tell less at the start of a fleet and in load messages

Each daemon that started read all entries, found all of them new, and told them to all others; greetings made up to six daemons send all entries to one that knew none.

Change: what a daemon reads first is not told; entries are sent on a greeting only while the store is away; a daemon that knows nothing asks the first one that does. Routes without traffic are left out of load messages.

--- a/src/decision/mesh/call_counts.rs
+++ b/src/decision/mesh/call_counts.rs
@@ -39,6 +39,10 @@
 /// Weight of a new duration in the mean.
 const TIME_WEIGHT: f64 = 0.05;
 
+/// Least count that is told: one event is below it after 24 s. Routes without traffic would fill the
+/// messages otherwise.
+const LEAST_COUNT: f32 = 0.05;
+
 /// Most routes that are followed.
 const MAX_ROUTES: usize = 1_024;
 
@@ -176,6 +180,7 @@
                 rate: state.rate(now) as f32,
                 count: state.count.get(now) as f32,
             })
+            .filter(|entered| entered.count >= LEAST_COUNT)
             .collect()
     }
 
@@ -187,6 +192,7 @@
             starts: state.starts.get(now) as f32,
             time_s: state.mean_time as f32,
         })
+        .filter(|run| run.starts >= LEAST_COUNT)
         .collect()
     }
 
@@ -199,6 +205,7 @@
                 call: call.clone(),
                 count: count.iter().map(|count| count.get(now)).sum::<f64>() as f32,
             })
+            .filter(|share| share.count >= LEAST_COUNT)
             .collect()
     }
 }
--- a/src/decision/mesh/news_gap.rs
+++ b/src/decision/mesh/news_gap.rs
@@ -6,11 +6,15 @@
 /// one at any moment.
 const NEWS_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which a daemon waits for the answer to its question before it asks another one.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
 /// Revision up to which the entries are known without a gap.
 #[derive(Debug, Default)]
 pub struct NewsGap {
     revision: u64,
     behind_since: Option<Instant>,
+    asked: Option<Instant>,
 }
 
 impl NewsGap {
@@ -39,11 +43,13 @@
             return false;
         }
         let since = *self.behind_since.get_or_insert(now);
-        if since + NEWS_TIME > now {
+        // A daemon that knows nothing yet is not told of changes either.
+        let is_under_way = self.revision > 0 && since + NEWS_TIME > now;
+        if is_under_way || self.asked.is_some_and(|at| at + ANSWER_TIME > now) {
             return false;
         }
-        // The next question goes out only if the answer to this one fails to come.
         self.behind_since = Some(now);
+        self.asked = Some(now);
         true
     }
 }
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -263,18 +263,15 @@
         self.rota.lock().learn(daemon, &load.store, now);
         let version = self.routes().map_or(0, |routes| routes.version().0);
         let is_behind = load.store.config_version > version;
-        load.store.is_reading
-            && self
-                .gap
-                .lock()
-                .needs_all(load.store.entries_revision, is_behind, now)
+        let mut gap = self.gap.lock();
+        gap.needs_all(load.store.entries_revision, is_behind, now)
     }
 
     /// Returns what this daemon tells of its contact with the store.
     pub fn store_contact(&self) -> StoreContact {
         StoreContact {
             data_centre: self.settings.data_centre.clone(),
-            is_reading: self.rota.lock().is_reading() && !self.view.lock().is_store_away(),
+            is_reading: self.rota.lock().is_reading() && !self.is_store_away(),
             entries_revision: self.gap.lock().revision(),
             config_version: self.routes().map_or(0, |routes| routes.version().0),
         }
@@ -403,6 +400,16 @@
         self.follow_members(now);
     }
 
+    /// Returns whether the store did not answer this daemon lately.
+    pub fn is_store_away(&self) -> bool {
+        self.view.lock().is_store_away()
+    }
+
+    /// Returns whether the entries were read or told before.
+    pub fn knows_entries(&self) -> bool {
+        self.gap.lock().revision() > 0
+    }
+
     /// Records that the store does not answer.
     pub fn store_lost(&self) {
         self.metrics.count_store_loss();
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -72,13 +72,15 @@
         }
     }
 
-    /// Sends all that is known to a daemon that knows less.
+    /// Sends all that is known to a daemon that knows less, while the store is away. Otherwise it reads
+    /// the store itself, or asks for what it lacks after the next load message.
     fn tell_all(&self, address: SocketAddr, hello: &HelloFrame) {
         let own = self.state.hello();
         let lacks_config = hello.config_version < own.config_version;
         let lacks_members = hello.members < own.members / 2;
         let share = MAX_TELLERS / f64::from(own.members.max(1));
         if (lacks_config || lacks_members)
+            && self.state.is_store_away()
             && rand::random::<f64>() < share
             && let Some(link) = self.link(address)
         {
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -122,11 +122,16 @@
                 after = page.last_key;
                 continue;
             }
+            // Daemons that start together read the same; telling it would take a message with all
+            // entries for each pair of them.
+            let is_first = !self.state.knows_entries();
             let news = match self.prefix {
                 StorePrefix::Config => self.state.learn_changes(&items),
                 StorePrefix::Entries => self.state.learn_entries(&items, revision),
             };
-            self.links.tell(news);
+            if !is_first {
+                self.links.tell(news);
+            }
             return Ok(revision);
         }
     }
--- a/tests/mesh/readers.rs
+++ b/tests/mesh/readers.rs
@@ -151,6 +151,15 @@
     assert!(!gap.needs_all(15, false, clock.now()));
 }
 
+/// Guards against a daemon that starts while the store is away and waits for changes that nobody tells.
+#[test]
+fn daemon_that_knows_nothing_asks_at_once() {
+    let now = ManualClock::new().now();
+    let mut gap = NewsGap::default();
+    assert!(gap.needs_all(15, true, now));
+    assert!(!gap.needs_all(15, true, now), "asked twice");
+}
+
 /// Guards against questions for changes that another daemon has just told, and against a configuration
 /// that never arrives.
 #[test]
