--- a/src/decision/mesh/call_counts.rs
+++ b/src/decision/mesh/call_counts.rs
@@ -1,10 +1,9 @@
 //! Calls of the own backend server, attributed to the routes whose runs make them.
 //!
-//! Calls carry no link to the run that makes them. A run waits for the answers to its calls, so that only
-//! runs that were in flight when a call began and still are when it ends can have made it. Among these the
-//! call is attributed in proportion to the call rate that was learned so far for their route at their age,
-//! which is one step of expectation maximisation for Poisson rates. The ages tell routes apart whose runs
-//! are always in flight side by side, since the runs of a route make their calls at similar ages.
+//! Calls carry no link to the run that makes them. A call is attributed to the runs in flight in
+//! proportion to the call rate that was learned so far for their route at their age, which is one step
+//! of expectation maximisation for Poisson rates. The ages tell routes apart whose runs are always in
+//! flight side by side, since the runs of a route make their calls at similar ages.
 
 use crate::{
     common::*,
@@ -18,9 +17,6 @@
 new_key_type! {
     /// Key of a run in flight at the own backend server.
     pub struct RunKey;
-
-    /// Key of a call of the own backend server that is not answered yet.
-    pub struct CallKey;
 }
 
 /// Calls per run second of a route without evidence, as a prior. A high prior would attribute calls of
@@ -59,14 +55,6 @@
     started: Instant,
 }
 
-#[derive(Debug)]
-struct OpenCall {
-    route: SmolStr,
-    began: Instant,
-    /// Runs that were in flight when the call began.
-    runs: Vec<RunKey>,
-}
-
 /// Runs of one route at the own backend server.
 #[derive(Debug)]
 struct RunState {
@@ -87,7 +75,6 @@
 #[derive(Debug, Default)]
 pub struct CallCounts {
     active: SlotMap<RunKey, ActiveRun>,
-    open_calls: SlotMap<CallKey, OpenCall>,
     runs: IndexMap<SmolStr, RunState>,
     entries: IndexMap<SmolStr, EntryState>,
     calls: IndexMap<(SmolStr, SmolStr), AgeCounts>,
@@ -134,8 +121,8 @@
         }
     }
 
-    /// Records that a request entered here.
-    pub fn on_entry(&mut self, route: &SmolStr, now: Instant) {
+    /// Records that a request entered here. `is_call` tells that the own backend server sent it.
+    pub fn on_entry(&mut self, route: &SmolStr, is_call: bool, now: Instant) {
         if self.entries.len() >= MAX_ROUTES && !self.entries.contains_key(route) {
             return;
         }
@@ -143,27 +130,15 @@
             .entry(route.clone())
             .or_insert_with(|| EntryState::new(now))
             .on_entry(now);
+        if is_call {
+            self.attribute(route, now);
+        }
     }
 
-    /// Records that the own backend server makes a call.
-    pub fn on_call(&mut self, route: &SmolStr, now: Instant) -> CallKey {
-        self.open_calls.insert(OpenCall {
-            route: route.clone(),
-            began: now,
-            runs: self.active.keys().collect(),
-        })
-    }
-
-    /// Records that a call ended, and attributes it to the runs that can have made it.
-    pub fn on_call_end(&mut self, key: CallKey, now: Instant) {
-        let Some(open) = self.open_calls.remove(key) else {
-            return;
-        };
-        let call = &open.route;
+    fn attribute(&mut self, call: &SmolStr, now: Instant) {
         let mut in_flight = IndexMap::<&SmolStr, [u32; AGES]>::new();
-        for run in open.runs.iter().filter_map(|key| self.active.get(*key)) {
-            let age = open.began.saturating_duration_since(run.started);
-            let age = age.as_secs_f64();
+        for run in self.active.values() {
+            let age = now.saturating_duration_since(run.started).as_secs_f64();
             let class = AGE_BOUNDS.partition_point(|bound| *bound <= age);
             in_flight.entry(&run.route).or_default()[class] += 1;
         }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -171,7 +171,7 @@
         };
         let plan = self.state.plan();
         let is_nested = plan.route(&route.name).is_some_and(|plan| plan.is_nested);
-        let _counted = self.state.executor.count_entry(&route.name, is_nested);
+        self.state.executor.count_entry(&route.name, is_nested);
         if !self.state.lasts_until(request.received + patience) {
             return Err(own_end(OwnAnswer::Leaving));
         }
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -7,7 +7,7 @@
         admission::admission_gate::{GateRequest, ShedReason, WorkResult},
         clock::Clock,
         mesh::{
-            call_counts::{CallCounts, CallKey, RunKey},
+            call_counts::{CallCounts, RunKey},
             instance_choice::LoadReport,
             latency_book::LatencyBook,
             load_summary::LoadSummary,
@@ -136,15 +136,11 @@
     }
 
     /// Counts a request that entered at this daemon. `is_call` tells that the own backend server
-    /// sent it; it counts as open until the result is dropped.
-    pub fn count_entry(&self, route: &SmolStr, is_call: bool) -> Option<CountedCall<'_>> {
-        let now = self.clock.now();
-        let mut counts = self.counts.lock();
-        counts.on_entry(route, now);
-        is_call.then(|| CountedCall {
-            executor: self,
-            key: counts.on_call(route, now),
-        })
+    /// sent it.
+    pub fn count_entry(&self, route: &SmolStr, is_call: bool) {
+        self.counts
+            .lock()
+            .on_entry(route, is_call, self.clock.now());
     }
 
     /// Runs a request and describes its end. `deadline` is the end of the caller's patience.
@@ -386,19 +382,6 @@
     }
 }
 
-/// Counts a call of the own backend server as open until it is dropped.
-pub struct CountedCall<'a> {
-    executor: &'a Executor,
-    key: CallKey,
-}
-
-impl Drop for CountedCall<'_> {
-    fn drop(&mut self) {
-        let now = self.executor.clock.now();
-        self.executor.counts.lock().on_call_end(self.key, now);
-    }
-}
-
 /// Counts a run as in flight until it is dropped.
 struct CountedRun<'a> {
     executor: &'a Executor,
