Test departures and a store that turns a daemon away

Both are now tests of the whole path: one waits until two daemons leave the instance out, the other until a refused daemon serves what the others told it; without the mechanism neither ends.

--- a/tests/mesh/path.rs
+++ b/tests/mesh/path.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http_text::{field, read_message},
-    stand_ins::{BackendStandIn, Behaviour, StoreStandIn, free_port, host},
+    stand_ins::{BackendStandIn, Behaviour, StoreStandIn, free_port, host, serve_bytes},
 };
 use skylarkstream::{
     mesh::{mesh_daemon, mesh_settings::MeshSettings},
@@ -25,6 +25,8 @@
 /// Two daemons with a backend server of the same service each.
 struct Fleet {
     backends: Vec<Arc<BackendStandIn>>,
+    /// Addresses of the backend servers.
+    addresses: Vec<SocketAddr>,
     outbound: Vec<SocketAddr>,
     readiness: Vec<SocketAddr>,
     stops: Vec<watch::Sender<bool>>,
@@ -34,15 +36,17 @@
 
 impl Fleet {
     async fn start() -> Self {
-        Self::start_with(true).await
+        Self::start_with(true, false).await
     }
 
-    async fn start_with(has_config: bool) -> Self {
+    /// Starts a fleet. With `is_turned_away` the store refuses all calls of the first daemon.
+    async fn start_with(has_config: bool, is_turned_away: bool) -> Self {
         let [peer, outbound, readiness, backend, store] = [(); 5].map(|()| free_port());
         let store_address = host(1, store);
         let store = StoreStandIn::start(store_address).await;
         let mut fleet = Self {
             backends: Vec::new(),
+            addresses: Vec::new(),
             outbound: Vec::new(),
             readiness: Vec::new(),
             daemons: Vec::new(),
@@ -55,18 +59,15 @@
         for number in [2, 3] {
             let address = host(number, backend);
             let id = format!("i-{number}");
-            fleet.store.put(
-                &format!("servers/{id}"),
-                &format!(
-                    r#"{{"service":"s","address":"{address}","zone":"a","version":"v1","slots":20,
-                    "state":"ready","cold-remaining-s":0,"sequence":1,"born":1}}"#
-                ),
-            );
-            fleet
-                .backends
-                .push(BackendStandIn::start(address, &id).await);
+            fleet.publish(&id, address, "ready");
+            let backend = BackendStandIn::start(address, &id).await;
+            fleet.addresses.push(address);
+            fleet.backends.push(backend);
         }
+        let refusing = serve_bytes("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n").await;
         for number in [2, 3] {
+            let is_refused = is_turned_away && number == 2;
+            let store_address = if is_refused { refusing } else { store_address };
             let text = format!(
                 "instance = \"d-{number}\"\ndata_centre = \"a\"\nservice = \"s\"\n\
                  backend = \"{}\"\noutbound = \"{}\"\npeer = \"{}\"\nreadiness = \"{}\"\n\
@@ -96,6 +97,14 @@
         fleet
     }
 
+    fn publish(&self, id: &str, address: SocketAddr, state: &str) {
+        let entry = format!(
+            r#"{{"service":"s","address":"{address}","zone":"a","version":"v1","slots":20,
+            "state":"{state}","cold-remaining-s":0,"sequence":1,"born":1}}"#
+        );
+        self.store.put(&format!("servers/{id}"), &entry);
+    }
+
     async fn wait_until_ready(&self) {
         for address in &self.readiness {
             while !ask(*address, "GET /readiness HTTP/1.1\r\n\r\n")
@@ -176,7 +185,7 @@
 /// ready.
 #[tokio::test]
 async fn daemon_without_config_refuses_and_is_not_ready() {
-    let fleet = Fleet::start_with(false).await;
+    let fleet = Fleet::start_with(false, false).await;
     let mut answer = String::new();
     while answer.is_empty() {
         answer = fleet.get("/safe/x", "a").await;
@@ -310,3 +319,32 @@
     assert_eq!(stream.read(&mut [0]).await.expect("an end"), 0);
     fleet.daemons.remove(0).await.expect("an orderly end");
 }
+
+/// Guards against work for an instance that has published that it leaves, through both daemons.
+#[tokio::test]
+async fn draining_instance_gets_no_work() {
+    let fleet = Fleet::start().await;
+    fleet.publish("i-2", fleet.addresses[0], "draining");
+    let mut elsewhere = 0;
+    let mut number = 0;
+    // Until the change has arrived, requests may still reach the instance.
+    while elsewhere < 40 {
+        let before = fleet.backends[0].run_count();
+        for outbound in &fleet.outbound {
+            number += 1;
+            let text = request("/safe/x", &format!("a{number}"));
+            let answer = ask(*outbound, &text).await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+        let is_elsewhere = fleet.backends[0].run_count() == before;
+        elsewhere = if is_elsewhere { elsewhere + 1 } else { 0 };
+    }
+}
+
+/// Guards against a daemon that serves nothing because the store refuses it while it serves others.
+#[tokio::test]
+async fn daemon_that_the_store_turns_away_learns_from_others() {
+    let fleet = Fleet::start_with(true, true).await;
+    let answer = fleet.get("/safe/x", "a1").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
