Log how and when a route version arrived, and which side closed a connection

The line of a version in force now has its source, revision and the age of the store's last response; the lines of connections name the side that closed them and why; lines tell when the entry of the local backend server appears or goes, and how many other readers a daemon counted. Metrics: store_reading, store_response_age_seconds, store_updates_total, silent_links_total, published. No decision is changed; the tests of mesh and of the operations page pass.

--- a/src/decision/mesh/reader_election.rs
+++ b/src/decision/mesh/reader_election.rs
@@ -80,7 +80,7 @@
     pub fn decide(&mut self, peer_timeout: Duration, now: Instant) -> bool {
         self.peers
             .retain(|_, peer| peer.last_seen + peer_timeout > now);
-        let readers = self.peers.values().filter(|peer| peer.is_reading).count();
+        let readers = self.other_readers();
         if let Some(since) = self.reading_since {
             let is_smaller =
                 |(id, peer): &(&u64, &PeerState)| peer.is_reading && **id < self.daemon_id;
@@ -111,6 +111,11 @@
         self.reading_since.is_some()
     }
 
+    /// Returns the number of peers in this data centre that read the store.
+    pub fn other_readers(&self) -> usize {
+        self.peers.values().filter(|peer| peer.is_reading).count()
+    }
+
     /// Returns the number of peers in this data centre that have not timed out.
     pub fn live_peers(&self) -> usize {
         self.peers.len()
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -19,10 +19,11 @@
     mesh::{
         context_headers::ContextHeaders,
         executor::Executor,
-        mesh_metrics::MeshMetrics,
+        mesh_metrics::{MeshMetrics, ViewReport},
         mesh_settings::MeshSettings,
         peer_frame::{HelloFrame, LoadFrame, StoreUpdateFrame},
-        store_interface::{StoreFormat, StoreItem},
+        store_contact::{StoreContact, UpdateSource},
+        store_interface::{StoreFormat, StoreItem, StorePrefix},
     },
 };
 use std::{
@@ -59,6 +60,7 @@
     pub entry_admission: Mutex<EntryAdmission>,
     /// Election of the daemons that read the store.
     pub reader_election: Mutex<ReaderElection>,
+    store_contact: Mutex<StoreContact>,
     update_gap: Mutex<UpdateGap>,
     planner: Mutex<AdmissionPlanner>,
     plan: Mutex<Arc<AdmissionPlan>>,
@@ -67,6 +69,8 @@
     view: Mutex<FleetView>,
     items: Mutex<StoredItems>,
     routes: Mutex<Option<Arc<RouteTable>>>,
+    /// Whether the store has an entry of the local backend server.
+    is_published: AtomicBool,
     is_leaving: AtomicBool,
     exit_deadline: Mutex<Option<Instant>>,
     next_run_number: AtomicU64,
@@ -111,6 +115,7 @@
             ReaderElection::new(daemon_id, settings.data_centre.clone(), clock.now());
         Self {
             reader_election: Mutex::new(reader_election),
+            store_contact: Mutex::default(),
             update_gap: Mutex::default(),
             started: clock.now(),
             selector: Mutex::new(selector),
@@ -130,6 +135,7 @@
             view: Mutex::default(),
             items: Mutex::default(),
             routes: Mutex::default(),
+            is_published: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             exit_deadline: Mutex::default(),
             next_run_number: AtomicU64::new(1),
@@ -259,9 +265,13 @@
 
     /// Writes all metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
-        let version = self.routes().map_or(0, |routes| routes.version().0);
-        self.metrics
-            .text(self.executor.load(), version, self.member_count())
+        let view = ViewReport {
+            config_version: self.routes().map_or(0, |routes| routes.version().0),
+            members: self.member_count(),
+            is_published: self.is_published.load(Ordering::Relaxed),
+            response_age: self.store_response_age(),
+        };
+        self.metrics.text(self.executor.load(), &view)
     }
 
     /// Returns the admission plan in force.
@@ -365,10 +375,14 @@
     }
 
     /// Applies changes that this daemon read from the store; returns the update for the peers.
-    pub fn apply_store_changes(&self, items: &[StoreItem]) -> StoreUpdateFrame {
+    pub fn apply_store_changes(
+        &self,
+        source: UpdateSource,
+        items: &[StoreItem],
+    ) -> StoreUpdateFrame {
         let now = self.clock.now();
         let apply = |entry: &VersionedEntry| self.view.lock().apply(entry, now);
-        let changed = self.apply_items(items, apply, now);
+        let changed = self.apply_items(source, items, apply, now);
         let mut gap = self.update_gap.lock();
         let previous = gap.revision();
         let entries = items.iter().filter(|item| item.instance.is_some());
@@ -382,7 +396,7 @@
     pub fn apply_entry_list(&self, items: &[StoreItem], revision: u64) -> StoreUpdateFrame {
         let now = self.clock.now();
         let apply = |entry: &VersionedEntry| self.view.lock().apply(entry, now);
-        let mut changed = self.apply_items(items, apply, now);
+        let mut changed = self.apply_items(UpdateSource::List, items, apply, now);
         let entries = self.decode_entries(items);
         let removed = self.view.lock().reconcile(&entries, revision, now);
         self.remove_items(&removed, now);
@@ -399,8 +413,8 @@
         self.store_update(changed, false, previous)
     }
 
-    /// Applies a store update received from a peer.
-    pub fn apply_update_from_peer(&self, update: &StoreUpdateFrame) {
+    /// Applies a store update received from the peer at an address.
+    pub fn apply_update_from_peer(&self, peer: IpAddr, update: &StoreUpdateFrame) {
         let now = self.clock.now();
         let age = update
             .since_store_recovery_ms
@@ -408,7 +422,7 @@
         let recovered_at = age.map(|age| now.checked_sub(age).unwrap_or(now));
         let apply =
             |entry: &VersionedEntry| self.view.lock().apply_from_peer(entry, recovered_at, now);
-        self.apply_items(&update.items, apply, now);
+        self.apply_items(UpdateSource::Peer(peer), &update.items, apply, now);
         if update.is_complete {
             let entries = self.decode_entries(&update.items);
             let mut view = self.view.lock();
@@ -426,15 +440,19 @@
     /// Applies items and returns those that changed the state.
     fn apply_items(
         &self,
+        source: UpdateSource,
         items: &[StoreItem],
         apply: impl Fn(&VersionedEntry) -> bool,
         now: Instant,
     ) -> Vec<StoreItem> {
         let changed: Vec<StoreItem> = items
             .iter()
-            .filter(|item| self.apply_item(item, &apply))
+            .filter(|item| self.apply_item(source, item, &apply))
             .cloned()
             .collect();
+        if !changed.is_empty() {
+            self.metrics.count_store_update(source);
+        }
         if changed.iter().any(|item| item.instance.is_some()) {
             self.update_members(now);
         }
@@ -474,9 +492,21 @@
         self.view.lock().mark_store_unreachable();
     }
 
-    /// Records a successful call to the store.
-    pub fn record_store_response(&self) {
-        self.view.lock().mark_store_reachable(self.clock.now());
+    /// Records a successful call to the store for a prefix.
+    pub fn record_store_response(&self, prefix: StorePrefix) {
+        let now = self.clock.now();
+        self.store_contact.lock().record_response(prefix, now);
+        self.view.lock().mark_store_reachable(now);
+    }
+
+    /// Records that this daemon no longer reads a prefix.
+    pub fn stop_reading(&self, prefix: StorePrefix) {
+        self.store_contact.lock().clear(prefix);
+    }
+
+    /// Returns the time since the store last responded to this daemon, if it reads the store.
+    pub fn store_response_age(&self) -> Option<Duration> {
+        self.store_contact.lock().response_age(self.clock.now())
     }
 
     /// Removes members whose removal was delayed and is now due.
@@ -487,9 +517,14 @@
         }
     }
 
-    fn apply_item(&self, item: &StoreItem, apply: impl Fn(&VersionedEntry) -> bool) -> bool {
+    fn apply_item(
+        &self,
+        source: UpdateSource,
+        item: &StoreItem,
+        apply: impl Fn(&VersionedEntry) -> bool,
+    ) -> bool {
         if item.is_config {
-            return self.apply_config(item);
+            return self.apply_config(source, item);
         }
         let Some(entry) = self.decode_entry(item) else {
             return false;
@@ -506,7 +541,7 @@
         true
     }
 
-    fn apply_config(&self, item: &StoreItem) -> bool {
+    fn apply_config(&self, source: UpdateSource, item: &StoreItem) -> bool {
         let Some(value) = &item.value else {
             return false;
         };
@@ -525,7 +560,11 @@
         {
             return false;
         }
+        let response_age = self.store_response_age();
         log::info!(
+            source:% = source,
+            revision = item.revision,
+            response_age_ms = response_age.map(|age| age.as_millis() as u64);
             "config: Version {} with {} routes is in force.",
             version.0,
             table.len()
@@ -563,6 +602,15 @@
             .members()
             .filter(|(_, entry)| entry.address == self.settings.backend)
             .max_by_key(|(_, entry)| entry.started_ms);
+        let is_published = local_member.is_some();
+        if self.is_published.swap(is_published, Ordering::Relaxed) != is_published {
+            let change = if is_published {
+                "is published"
+            } else {
+                "is gone"
+            };
+            log::info!("members: The entry of the local backend server {change}.");
+        }
         match local_member {
             Some((id, entry)) => self.executor.set_published_instance(id, entry.slots),
             None => {
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a daemon whose routes and instances are published in a store.
 
-use crate::{common::*, decision::mesh::instance_selector::LoadReport};
+use crate::{
+    common::*, decision::mesh::instance_selector::LoadReport, mesh::store_contact::UpdateSource,
+};
 use prometheus_client::{
     encoding::text,
     metrics::{
@@ -11,10 +13,24 @@
     },
     registry::{Registry, Unit},
 };
+use std::sync::atomic::AtomicU64;
 
 /// Upper bounds of the response time: 1 ms to 8 s, each twice the previous one.
 const RESPONSE_TIME_BUCKETS: (f64, f64, u16) = (0.001, 2.0, 14);
 
+/// What a daemon knows of the fleet, as reported in the metrics.
+#[derive(Clone, Debug, Default)]
+pub struct ViewReport {
+    /// Version of the routes in force; 0 without one.
+    pub config_version: u64,
+    /// Number of instances of all services.
+    pub members: usize,
+    /// Whether the store has an entry of the local backend server.
+    pub is_published: bool,
+    /// Time since the store last responded, if this daemon reads it.
+    pub response_age: Option<Duration>,
+}
+
 type Labels = Vec<(&'static str, String)>;
 
 /// Metrics of one daemon.
@@ -25,6 +41,11 @@
     response_time: Histogram,
     retries: Counter,
     store_failures: Counter,
+    store_updates: Family<Labels, Counter>,
+    silent_links: Counter,
+    store_reading: Gauge,
+    published: Gauge,
+    store_response_age: Gauge<f64, AtomicU64>,
     in_flight: Gauge,
     queued: Gauge,
     limit: Gauge,
@@ -42,6 +63,11 @@
             response_time: Histogram::new(exponential_buckets(start, factor, length)),
             retries: Counter::default(),
             store_failures: Counter::default(),
+            store_updates: Family::default(),
+            silent_links: Counter::default(),
+            store_reading: Gauge::default(),
+            published: Gauge::default(),
+            store_response_age: Gauge::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
             limit: Gauge::default(),
@@ -70,7 +96,35 @@
         registry.register("repeats", "Requests sent to a further upstream", retries);
         let failures = self.store_failures.clone();
         registry.register("store_losses", "Times that the store was lost", failures);
+        let updates = self.store_updates.clone();
+        registry.register(
+            "store_updates",
+            "Updates of the store that changed something, by the way they arrived",
+            updates,
+        );
+        let silent_links = self.silent_links.clone();
+        registry.register(
+            "silent_links",
+            "Connections to peers closed because the peer was silent",
+            silent_links,
+        );
+        registry.register_with_unit(
+            "store_response_age",
+            "Time since the store last responded; 0 for a daemon that does not read it",
+            Unit::Seconds,
+            self.store_response_age.clone(),
+        );
         let gauges = [
+            (
+                "store_reading",
+                "Whether this daemon reads the store: 1 or 0",
+                &self.store_reading,
+            ),
+            (
+                "published",
+                "Whether the store has an entry of the local backend server: 1 or 0",
+                &self.published,
+            ),
             (
                 "runs_in_flight",
                 "Requests at the backend server",
@@ -112,13 +166,28 @@
         self.store_failures.inc();
     }
 
+    /// Counts an update of the store that changed something.
+    pub fn count_store_update(&self, source: UpdateSource) {
+        let labels = vec![("source", source.name().to_owned())];
+        self.store_updates.get_or_create(&labels).inc();
+    }
+
+    /// Counts a connection to a peer that was closed because the peer was silent.
+    pub fn count_silent_link(&self) {
+        self.silent_links.inc();
+    }
+
     /// Writes all metrics in the OpenMetrics text format.
-    pub fn text(&self, load: LoadReport, config_version: u64, members: usize) -> String {
+    pub fn text(&self, load: LoadReport, view: &ViewReport) -> String {
+        self.store_reading.set(view.response_age.is_some().into());
+        let age = view.response_age.unwrap_or_default();
+        self.store_response_age.set(age.as_secs_f64());
         self.in_flight.set(load.in_flight.into());
         self.queued.set(load.queued.into());
         self.limit.set(load.limit.into());
-        self.config_version.set(config_version as i64);
-        self.members.set(members as i64);
+        self.config_version.set(view.config_version as i64);
+        self.members.set(view.members as i64);
+        self.published.set(view.is_published.into());
         let mut output = String::new();
         // Writing to a string does not fail.
         let _ = text::encode(&mut output, &self.registry);
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    mesh::connection_end::ConnectionEnd,
     mesh::peer_frame::{CallFrame, HelloFrame, LoadFrame, PeerFrame, ReplyFrame, StoreUpdateFrame},
 };
 use bytes::BytesMut;
@@ -54,7 +55,9 @@
     /// The peer sent its handshake.
     fn on_hello(&self, address: SocketAddr, hello: &HelloFrame);
     /// The peer sent values of the store.
-    fn on_store_update(&self, update: &StoreUpdateFrame);
+    fn on_store_update(&self, address: SocketAddr, update: &StoreUpdateFrame);
+    /// A connection was closed because the peer was silent.
+    fn on_silence(&self, address: SocketAddr);
     /// The peer sent its load over the connection of this daemon, which is no member in its view.
     fn on_load(&self, address: SocketAddr, load: &LoadFrame);
     /// Returns the handshake of this daemon.
@@ -205,6 +208,10 @@
     fn has_pending(&self) -> bool {
         !self.pending.lock().is_empty()
     }
+
+    fn pending_count(&self) -> usize {
+        self.pending.lock().len()
+    }
 }
 
 struct LinkDriver {
@@ -225,11 +232,14 @@
                 match self.connect().await {
                     Ok(stream) => {
                         self.observer.on_connection_attempt(self.link.address, true);
-                        let error = self.run_connection(stream, first.take()).await;
+                        let end = self.run_connection(stream, first.take()).await;
                         log::info!(
-                            "link: The connection to {} was closed: {error}.",
+                            "link: The connection to {} ended: {end}.",
                             self.link.address
                         );
+                        if matches!(end, ConnectionEnd::Silent { .. }) {
+                            self.observer.on_silence(self.link.address);
+                        }
                     }
                     Err(error) => {
                         log::info!("link: Cannot connect to {}: {error}.", self.link.address);
@@ -281,7 +291,7 @@
         &mut self,
         mut stream: TcpStream,
         first: Option<Outgoing>,
-    ) -> io::Error {
+    ) -> ConnectionEnd {
         self.connection_number += 1;
         let (mut reader, mut writer) = stream.split();
         let mut input = BytesMut::new();
@@ -306,14 +316,14 @@
             tokio::select! {
                 written = writer.write_buf(&mut output), if !output.is_empty() => {
                     match written {
-                        Ok(0) => return io::ErrorKind::WriteZero.into(),
+                        Ok(0) => return io::Error::from(io::ErrorKind::WriteZero).into(),
                         Ok(_) => {}
-                        Err(error) => return error,
+                        Err(error) => return error.into(),
                     }
                 }
                 received = self.inbox.recv_many(&mut batch, WRITE_BATCH), if output.is_empty() => {
                     if received == 0 {
-                        return io::ErrorKind::NotConnected.into();
+                        return ConnectionEnd::Unused;
                     }
                     if self.link.has_no_sent_calls() {
                         // Without sent calls no data was expected from the peer.
@@ -327,15 +337,15 @@
                 }
                 read = read_available(&mut reader, &mut input) => {
                     match read {
-                        Ok(0) => return io::ErrorKind::UnexpectedEof.into(),
+                        Ok(0) => return ConnectionEnd::PeerClosed,
                         Ok(_) => last_received = self.observer.now(),
-                        Err(error) => return error,
+                        Err(error) => return error.into(),
                     }
                     loop {
                         match PeerFrame::decode(&mut input) {
                             Ok(Some(frame)) => self.receive(frame),
                             Ok(None) => break,
-                            Err(error) => return io::Error::other(error),
+                            Err(error) => return error.into(),
                         }
                     }
                 }
@@ -347,7 +357,10 @@
                     last_check = now;
                     next_check = now + LIVENESS_CHECK_INTERVAL;
                     if now > last_received + PEER_TIMEOUT {
-                        return io::ErrorKind::TimedOut.into();
+                        return ConnectionEnd::Silent {
+                            silence: now.saturating_duration_since(last_received),
+                            pending: self.link.pending_count(),
+                        };
                     }
                     if now > last_received + LIVENESS_CHECK_INTERVAL {
                         PeerFrame::Ping.encode(&mut output);
@@ -390,7 +403,9 @@
                 self.peer_id = Some(hello.daemon_id);
                 self.observer.on_hello(self.link.address, &hello);
             }
-            PeerFrame::StoreUpdate(update) => self.observer.on_store_update(&update),
+            PeerFrame::StoreUpdate(update) => {
+                self.observer.on_store_update(self.link.address, &update);
+            }
             PeerFrame::Load(load) => self.observer.on_load(self.link.address, &load),
             PeerFrame::Reply(reply) => self
                 .link
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -127,8 +127,12 @@
         self.send_missing_state(address, hello);
     }
 
-    fn on_store_update(&self, update: &StoreUpdateFrame) {
-        self.state.apply_update_from_peer(update);
+    fn on_store_update(&self, address: SocketAddr, update: &StoreUpdateFrame) {
+        self.state.apply_update_from_peer(address.ip(), update);
+    }
+
+    fn on_silence(&self, _: SocketAddr) {
+        self.state.metrics.count_silent_link();
     }
 
     fn on_load(&self, address: SocketAddr, load: &LoadFrame) {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -4,6 +4,7 @@
     common::*,
     decision::mesh::run_table::{ResumedRun, RunId, RunTable},
     mesh::{
+        connection_end::ConnectionEnd,
         fleet_state::FleetState,
         peer_frame::{
             CallFrame, HelloFrame, LoadFrame, NotRunReason, PeerFrame, ReplyFrame, RunResult,
@@ -80,8 +81,8 @@
                         min_clock_difference_us: i64::MAX,
                     };
                     tokio::spawn(async move {
-                        let error = connection.serve(stream).await;
-                        log::info!("peer: The connection from {address} was closed: {error}.");
+                        let end = connection.serve(stream).await;
+                        log::info!("peer: The connection from {address} ended: {end}.");
                     });
                 }
                 Err(error) => {
@@ -188,12 +189,12 @@
 }
 
 impl PeerConnection {
-    async fn serve(mut self, mut stream: TcpStream) -> io::Error {
+    async fn serve(mut self, mut stream: TcpStream) -> ConnectionEnd {
         let _ = stream.set_nodelay(true);
         let (outbox, inbox) = mpsc::unbounded_channel();
-        let error = self.run_connection(&mut stream, &outbox, inbox).await;
+        let end = self.run_connection(&mut stream, &outbox, inbox).await;
         self.on_disconnect(&outbox);
-        error
+        end
     }
 
     async fn run_connection(
@@ -201,7 +202,7 @@
         stream: &mut TcpStream,
         outbox: &Outbox,
         mut inbox: mpsc::UnboundedReceiver<PeerFrame>,
-    ) -> io::Error {
+    ) -> ConnectionEnd {
         let (mut reader, mut writer) = stream.split();
         let mut input = BytesMut::new();
         let mut output = BytesMut::new();
@@ -211,14 +212,14 @@
             tokio::select! {
                 written = writer.write_buf(&mut output), if !output.is_empty() => {
                     match written {
-                        Ok(0) => return io::ErrorKind::WriteZero.into(),
+                        Ok(0) => return io::Error::from(io::ErrorKind::WriteZero).into(),
                         Ok(_) => {}
-                        Err(error) => return error,
+                        Err(error) => return error.into(),
                     }
                 }
                 received = inbox.recv_many(&mut batch, WRITE_BATCH), if output.is_empty() => {
                     if received == 0 {
-                        return io::ErrorKind::NotConnected.into();
+                        return ConnectionEnd::Unused;
                     }
                     for frame in batch.drain(..) {
                         frame.encode(&mut output);
@@ -226,20 +227,20 @@
                 }
                 read = async { input.reserve(READ_BYTES); reader.read_buf(&mut input).await } => {
                     match read {
-                        Ok(0) => return io::ErrorKind::UnexpectedEof.into(),
+                        Ok(0) => return ConnectionEnd::PeerClosed,
                         Ok(_) => {}
-                        Err(error) => return error,
+                        Err(error) => return error.into(),
                     }
                     loop {
                         match PeerFrame::decode(&mut input) {
                             Ok(Some(PeerFrame::Hello(hello))) => {
                                 if !self.accept_hello(&hello, outbox) {
-                                    return io::Error::other("the peer opened a newer connection");
+                                    return ConnectionEnd::Replaced;
                                 }
                             }
                             Ok(Some(frame)) => self.receive(frame, &mut output),
                             Ok(None) => break,
-                            Err(error) => return io::Error::other(error),
+                            Err(error) => return error.into(),
                         }
                     }
                 }
@@ -268,7 +269,11 @@
                 }
             }
             PeerFrame::Ping => PeerFrame::Pong.encode(output),
-            PeerFrame::StoreUpdate(update) => listener.state.apply_update_from_peer(&update),
+            PeerFrame::StoreUpdate(update) => {
+                if let Some(ip) = self.peer_ip {
+                    listener.state.apply_update_from_peer(ip, &update);
+                }
+            }
             PeerFrame::FetchStoreState => {
                 PeerFrame::StoreUpdate(Arc::new(listener.state.full_store_state())).encode(output);
             }
--- /dev/null
+++ b/src/mesh/store_contact.rs
@@ -0,0 +1,68 @@
+//! How recent the values of the store are that a daemon has.
+
+use crate::{common::*, mesh::store_interface::StorePrefix};
+use std::net::IpAddr;
+
+/// Way by which values of the store arrived at this daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpdateSource {
+    /// This daemon read a complete list from the store.
+    List,
+    /// A watch of this daemon returned changes.
+    Watch,
+    /// The daemon at this address sent them.
+    Peer(IpAddr),
+}
+
+impl UpdateSource {
+    /// Returns the name of the source in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch => "watch",
+            Self::Peer(_) => "peer",
+        }
+    }
+}
+
+impl Display for UpdateSource {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Peer(address) => write!(f, "peer {address}"),
+            _ => f.write_str(self.name()),
+        }
+    }
+}
+
+/// Times at which the store last responded to this daemon.
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    config_response: Option<Instant>,
+    entries_response: Option<Instant>,
+}
+
+impl StoreContact {
+    /// Records a response to a call for a prefix.
+    pub fn record_response(&mut self, prefix: StorePrefix, now: Instant) {
+        *self.last_response(prefix) = Some(now);
+    }
+
+    /// Forgets the responses for a prefix, since this daemon no longer reads it.
+    pub fn clear(&mut self, prefix: StorePrefix) {
+        *self.last_response(prefix) = None;
+    }
+
+    /// Returns the time since the store last responded, for the prefix for which it is longer, or
+    /// `None` if this daemon does not read the store or has not yet read all of it.
+    pub fn response_age(&self, now: Instant) -> Option<Duration> {
+        let oldest = self.config_response?.min(self.entries_response?);
+        Some(now.saturating_duration_since(oldest))
+    }
+
+    fn last_response(&mut self, prefix: StorePrefix) -> &mut Option<Instant> {
+        match prefix {
+            StorePrefix::Config => &mut self.config_response,
+            StorePrefix::Entries => &mut self.entries_response,
+        }
+    }
+}
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -6,6 +6,7 @@
         fleet_state::FleetState,
         peer_links::PeerLinks,
         store_client::{StoreClient, StoreError},
+        store_contact::UpdateSource,
         store_interface::{StoreItem, StorePrefix},
     },
 };
@@ -67,12 +68,18 @@
     pub async fn run(mut self) {
         let mut is_reader = self.is_reader.clone();
         while is_reader.wait_for(|is_reader| *is_reader).await.is_ok() {
-            log::info!("store: Started reading {:?}.", self.prefix);
+            log::info!(
+                readers = self.state.reader_election.lock().other_readers() as u64;
+                "store: Started reading {:?}.",
+                self.prefix
+            );
             tokio::select! {
                 () = self.read_and_watch() => {}
                 _ = is_reader.wait_for(|is_reader| !*is_reader) => {}
             }
+            self.state.stop_reading(self.prefix);
             log::info!(
+                readers = self.state.reader_election.lock().other_readers() as u64;
                 "store: Stopped reading {:?}; other daemons read it.",
                 self.prefix
             );
@@ -94,7 +101,7 @@
                     }
                     failures = 0;
                     revision = Some(next);
-                    self.state.record_store_response();
+                    self.state.record_store_response(self.prefix);
                 }
                 Err(error) => {
                     if failures == 0 {
@@ -131,7 +138,7 @@
             // ones, and each pair of daemons would exchange a message with all entries.
             let is_first = !self.state.has_entries();
             let update = match self.prefix {
-                StorePrefix::Config => self.state.apply_store_changes(&items),
+                StorePrefix::Config => self.state.apply_store_changes(UpdateSource::List, &items),
                 StorePrefix::Entries => self.state.apply_entry_list(&items, revision),
             };
             if !is_first {
@@ -149,7 +156,9 @@
         if changes.items.is_empty() {
             return Ok(changes.revision);
         }
-        let update = self.state.apply_store_changes(&changes.items);
+        let update = self
+            .state
+            .apply_store_changes(UpdateSource::Watch, &changes.items);
         self.links.broadcast_update(update);
         // The next watch returns further changes together.
         tokio::time::sleep(BATCH_DELAY).await;
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -39,7 +39,9 @@
 
     fn on_hello(&self, _: SocketAddr, _: &HelloFrame) {}
 
-    fn on_store_update(&self, _: &StoreUpdateFrame) {}
+    fn on_store_update(&self, _: SocketAddr, _: &StoreUpdateFrame) {}
+
+    fn on_silence(&self, _: SocketAddr) {}
 
     fn on_load(&self, _: SocketAddr, load: &LoadFrame) {
         self.0.send_modify(|ids| ids.push(load.summary.daemon_id));
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -7,7 +7,10 @@
         mesh::instance_selector::LoadReport, profile::service_profile::ServiceProfile,
         request_priority::RequestPriority,
     },
-    mesh::mesh_metrics::MeshMetrics,
+    mesh::{
+        mesh_metrics::{MeshMetrics, ViewReport},
+        store_contact::UpdateSource,
+    },
     shell::metrics::DaemonMetrics,
 };
 
@@ -27,7 +30,8 @@
     let metrics = DaemonMetrics::new(&[], Counter::default());
     let mesh = MeshMetrics::new();
     mesh.count_request("r", "200", Duration::ZERO);
-    let mesh = mesh.text(LoadReport::default(), 0, 0);
+    mesh.count_store_update(UpdateSource::Watch);
+    let mesh = mesh.text(LoadReport::default(), &ViewReport::default());
     let text = metrics.text(load, RequestPriority::LOWEST) + &mesh;
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     for line in types {
