Add failing tests of two causes of late route versions

Two causes are reproduced, both on unchanged logic:

A reader waits 6.5 s on a silent connection to the store. A daemon whose backend server has crashed is no member any more and gets no updates. The test connects as a daemon without an entry and gets no update.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -20,3 +20,4 @@
 mod run_table;
 mod shutdown_wait;
 mod stand_ins;
+mod store_reader;
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -13,6 +13,7 @@
         peer_link::{CallResult, LinkObserver, PeerLink},
         peer_links::PeerLinks,
         peer_listener::PeerListener,
+        store_interface::StoreItem,
     },
     platform::{context_names::context_headers, store_format::PlatformStore},
 };
@@ -28,23 +29,36 @@
     io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::timeout,
 };
 
-/// Keeps the ids of the daemons whose load the peer sent.
+/// Time after which a test fails because of a message that does not arrive.
+const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Keeps what the peer sent.
 #[derive(Default)]
-struct LoadObserver(watch::Sender<Vec<u64>>);
+struct FrameObserver {
+    /// Ids of the daemons whose load the peer sent.
+    loads: watch::Sender<Vec<u64>>,
+    /// Last revisions of the store updates.
+    updates: watch::Sender<Vec<u64>>,
+}
 
-impl LinkObserver for LoadObserver {
+impl LinkObserver for FrameObserver {
     fn on_connection_attempt(&self, _: SocketAddr, _: bool) {}
 
     fn on_hello(&self, _: SocketAddr, _: &HelloFrame) {}
 
-    fn on_store_update(&self, _: SocketAddr, _: &StoreUpdateFrame) {}
+    fn on_store_update(&self, _: SocketAddr, update: &StoreUpdateFrame) {
+        self.updates
+            .send_modify(|revisions| revisions.push(update.last_revision));
+    }
 
     fn on_silence(&self, _: SocketAddr) {}
 
     fn on_load(&self, _: SocketAddr, load: &LoadFrame) {
-        self.0.send_modify(|ids| ids.push(load.summary.daemon_id));
+        self.loads
+            .send_modify(|ids| ids.push(load.summary.daemon_id));
     }
 
     fn hello(&self) -> HelloFrame {
@@ -118,8 +132,9 @@
     backend: Arc<BackendStandIn>,
     proxy: LinkProxy,
     link: Arc<PeerLink>,
-    observer: Arc<LoadObserver>,
+    observer: Arc<FrameObserver>,
     state: Arc<FleetState>,
+    links: Arc<PeerLinks>,
 }
 
 impl Scenario {
@@ -140,9 +155,9 @@
         ));
         let listener = TcpListener::bind(peer).await.expect("the address");
         let links = PeerLinks::new(Arc::clone(&state));
-        tokio::spawn(PeerListener::new(Arc::clone(&state), links).serve(listener));
+        tokio::spawn(PeerListener::new(Arc::clone(&state), Arc::clone(&links)).serve(listener));
         let proxy = LinkProxy::start(peer).await;
-        let observer = Arc::new(LoadObserver::default());
+        let observer = Arc::new(FrameObserver::default());
         let link_observer: Arc<dyn LinkObserver> = Arc::clone(&observer) as _;
         Self {
             peer,
@@ -151,6 +166,7 @@
             proxy,
             observer,
             state,
+            links,
         }
     }
 
@@ -203,12 +219,41 @@
     let scenario = Scenario::start().await;
     let load = scenario.state.update_plan();
     scenario.link.send(PeerFrame::Load(load));
-    let mut received = scenario.observer.0.subscribe();
+    let mut received = scenario.observer.loads.subscribe();
     let ids = received.wait_for(|ids| !ids.is_empty()).await;
     let ids = ids.expect("the observer").clone();
     assert_eq!(ids, [scenario.state.daemon_id]);
 }
 
+/// Guards against a daemon whose backend server has crashed and that still serves callers by old
+/// routes, because updates of the store are sent to members only.
+#[tokio::test]
+async fn daemon_that_is_no_member_gets_updates_of_the_store() {
+    let scenario = Scenario::start().await;
+    scenario
+        .link
+        .send(PeerFrame::Load(scenario.state.update_plan()));
+    let mut loads = scenario.observer.loads.subscribe();
+    let _ = loads.wait_for(|ids| !ids.is_empty()).await;
+    let update = StoreUpdateFrame {
+        items: vec![StoreItem {
+            is_config: true,
+            instance: None,
+            revision: 7,
+            value: None,
+        }],
+        is_complete: false,
+        previous_revision: 0,
+        last_revision: 7,
+        since_store_recovery_ms: None,
+    };
+    scenario.links.broadcast_update(update);
+    let mut updates = scenario.observer.updates.subscribe();
+    let received = updates.wait_for(|revisions| !revisions.is_empty());
+    let received = timeout(TEST_TIMEOUT, received).await;
+    assert!(received.is_ok(), "no update was received");
+}
+
 /// Guards against the loss of a response because the connection was reset during the run.
 #[tokio::test]
 async fn result_is_delivered_after_a_connection_reset() {
@@ -295,7 +340,7 @@
     let hello = |connection_number| {
         let hello = HelloFrame {
             connection_number,
-            ..LoadObserver::default().hello()
+            ..FrameObserver::default().hello()
         };
         PeerFrame::Hello(hello)
     };
--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -148,6 +148,10 @@
 pub struct StoreStandIn {
     items: Mutex<Vec<(String, String)>>,
     revision: Mutex<u64>,
+    /// Number of connections accepted so far.
+    connections: Mutex<usize>,
+    /// The connections up to this number stay open and get no more responses.
+    silent_connections: Mutex<usize>,
 }
 
 impl StoreStandIn {
@@ -156,16 +160,28 @@
         let store = Arc::new(Self {
             items: Mutex::default(),
             revision: Mutex::new(10),
+            connections: Mutex::default(),
+            silent_connections: Mutex::default(),
         });
         let serving = Arc::clone(&store);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(Arc::clone(&serving).serve(stream));
+                let number = {
+                    let mut connections = serving.connections.lock();
+                    *connections += 1;
+                    *connections
+                };
+                tokio::spawn(Arc::clone(&serving).serve(stream, number));
             }
         });
         store
     }
 
+    /// Sends no more responses on the connections that are open. New ones work.
+    pub fn silence_connections(&self) {
+        *self.silent_connections.lock() = *self.connections.lock();
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let mut items = self.items.lock();
         items.retain(|(existing, _)| existing != key);
@@ -173,7 +189,7 @@
         *self.revision.lock() += 1;
     }
 
-    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+    async fn serve(self: Arc<Self>, mut stream: TcpStream, number: usize) {
         use base64::{Engine, engine::general_purpose::STANDARD};
         while let Some(head) = read_message(&mut stream).await {
             let prefix = if head.contains("op%2F") {
@@ -186,6 +202,9 @@
                 // A change that follows the read below is returned by the next watch.
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
+            if number <= *self.silent_connections.lock() {
+                std::future::pending::<()>().await;
+            }
             let revision = *self.revision.lock();
             let items: Vec<String> = self
                 .items
@@ -214,6 +233,15 @@
     }
 }
 
+/// Returns a configuration of this version with one safe route to the service `s`.
+pub fn config(version: u64) -> String {
+    format!(
+        r#"{{"version":"r{version}","routes":[{{"name":"safe","hostname":"h","prefix":"/safe/",
+        "route-type":"safe","timeout-s":20,"target-latency-s":10,"priority":0,"service":"s",
+        "max-attempts":2}}],"services":[]}}"#
+    )
+}
+
 /// Returns the address 127.0.0.`number` with a port.
 pub fn loopback(number: u8, port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::from([127, 0, 0, number]), port)
--- /dev/null
+++ b/tests/mesh/store_reader.rs
@@ -0,0 +1,99 @@
+//! Readers of the store whose connections fail without being closed.
+
+use crate::stand_ins::{StoreStandIn, config, free_port, loopback};
+use skylarkstream::{
+    decision::clock::Clock,
+    mesh::{
+        fleet_state::FleetState, mesh_settings::MeshSettings, peer_links::PeerLinks,
+        store_interface::StorePrefix, store_reader::StoreReader,
+    },
+    platform::{context_names::context_headers, store_format::PlatformStore},
+};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{sync::watch, task::JoinSet};
+
+/// Time after which a version must be in force although all open connections went silent before it
+/// was published.
+const SILENCE_BOUND: Duration = Duration::from_secs(3);
+
+/// Step in which the tests wait in virtual time.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Clock of the runtime, which tests pause.
+struct RuntimeClock;
+
+impl Clock for RuntimeClock {
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+}
+
+/// Daemon that only reads the store.
+struct Scenario {
+    state: Arc<FleetState>,
+    store: Arc<StoreStandIn>,
+    _is_reader: watch::Sender<bool>,
+    _readers: JoinSet<()>,
+}
+
+impl Scenario {
+    async fn start() -> Self {
+        let store_address = loopback(1, free_port());
+        let store = StoreStandIn::start(store_address).await;
+        store.put("op/config", &config(1));
+        let text = format!(
+            "instance = \"i\"\ndata_centre = \"a\"\nservice = \"s\"\n\
+             backend = \"127.0.0.1:1\"\noutbound = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\n\
+             readiness = \"127.0.0.1:4\"\nstore = \"{store_address}\"\ngrace_s = 1.0\n"
+        );
+        let settings = MeshSettings::from_bytes(text.as_bytes()).expect("settings");
+        let state = Arc::new(FleetState::new(
+            settings,
+            context_headers(),
+            Arc::new(PlatformStore),
+            Arc::new(RuntimeClock),
+        ));
+        let links = PeerLinks::new(Arc::clone(&state));
+        let (is_reader_sender, is_reader) = watch::channel(true);
+        let mut readers = JoinSet::new();
+        for prefix in [StorePrefix::Config, StorePrefix::Entries] {
+            let (state, links) = (Arc::clone(&state), Arc::clone(&links));
+            readers.spawn(StoreReader::new(state, links, prefix, is_reader.clone()).run());
+        }
+        let scenario = Self {
+            state,
+            store,
+            _is_reader: is_reader_sender,
+            _readers: readers,
+        };
+        scenario.time_to_version(1).await;
+        scenario
+    }
+
+    /// Waits until a version is in force; returns how long it took.
+    async fn time_to_version(&self, version: u64) -> Duration {
+        let begin = tokio::time::Instant::now();
+        while self
+            .state
+            .routes()
+            .is_none_or(|routes| routes.version().0 < version)
+        {
+            tokio::time::sleep(STEP).await;
+        }
+        begin.elapsed()
+    }
+}
+
+/// Guards against routes that stay in force after a later version was published, because the
+/// connection to the store is silent and the reader takes it for a store without changes.
+#[tokio::test(start_paused = true)]
+async fn version_behind_a_silent_connection_is_in_force_in_time() {
+    let scenario = Scenario::start().await;
+    scenario.store.silence_connections();
+    scenario.store.put("op/config", &config(2));
+    let time = scenario.time_to_version(2).await;
+    assert!(time <= SILENCE_BOUND, "{time:?}");
+}
