Give up a watch of the store after 2 s, and adapt the limit to its response time

Cause: a watch without news and one on a dead connection look the same until the response is overdue, and a reader waited 5 s for the watch and 1.5 s more. Machines count as in touch again 3 s after such a fault, and a version has to be in force 2 s after its confirmation.

Change: a watch waits 1.5 s and its response is overdue 0.5 s later. The reader then reads all on a new connection at once; only if that fails as well does the store count as unreachable. A slow store gets three times its longest recent response time, at most 1.5 s as before, so that its connections are not given up again and again.

--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -11,6 +11,7 @@
 pub mod instance_selector;
 pub mod load_summary;
 pub mod reader_election;
+pub mod response_limit;
 pub mod route_table;
 pub mod run_table;
 pub mod service_times;
--- a/src/mesh/store_client.rs
+++ b/src/mesh/store_client.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    decision::mesh::response_limit::MAX_RESPONSE_LIMIT,
     http1::{
         client_connection::{ClientConnection, ExchangeError},
         message_head::ResponseHead,
@@ -15,9 +16,6 @@
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time for a read. The store usually responds within milliseconds.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Largest response in bytes. A page has about 1 MB, encoded in base64.
 const MAX_RESPONSE_BYTES: u64 = 8 << 20;
 
@@ -65,19 +63,20 @@
         after: Option<&str>,
     ) -> Result<StorePage, StoreError> {
         let target = self.format.range_target(prefix, after);
-        let body = self.get(&target, READ_TIMEOUT).await?;
+        let body = self.get(&target, MAX_RESPONSE_LIMIT).await?;
         Ok(self.format.decode_page(&body)?)
     }
 
-    /// Waits up to `wait` for changes after a revision.
+    /// Waits up to `wait` for changes after a revision. The response may take `limit` longer.
     pub async fn watch(
         &mut self,
         prefix: StorePrefix,
         after: u64,
         wait: Duration,
+        limit: Duration,
     ) -> Result<StoreChanges, StoreError> {
         let target = self.format.watch_target(prefix, after, wait);
-        let body = self.get(&target, wait + READ_TIMEOUT).await?;
+        let body = self.get(&target, wait + limit).await?;
         Ok(self.format.decode_watch(&body)?)
     }
 
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    decision::mesh::response_limit::ResponseLimit,
     mesh::{
         fleet_state::FleetState,
         peer_links::PeerLinks,
@@ -12,9 +13,10 @@
 };
 use tokio::sync::watch;
 
-/// Time for which a watch waits for changes. A shorter time detects a dead connection earlier, a
+/// Time for which a watch waits for changes. A connection that went silent is detected only when
+/// its response is overdue, so a shorter time puts changes in force earlier after such a fault; a
 /// longer one needs fewer calls.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(5_000);
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Delay before the next watch after changes. Deployments write several entries within a second,
 /// and each call to the store is billed.
@@ -43,6 +45,7 @@
     links: Arc<PeerLinks>,
     prefix: StorePrefix,
     client: StoreClient,
+    response_limit: ResponseLimit,
     is_reader: watch::Receiver<bool>,
 }
 
@@ -60,6 +63,7 @@
             links,
             prefix,
             client,
+            response_limit: ResponseLimit::default(),
             is_reader,
         }
     }
@@ -104,16 +108,20 @@
                     self.state.record_store_response(self.prefix);
                 }
                 Err(error) => {
+                    let is_watch = revision.is_some();
+                    // Only a complete list shows which entries expired during an outage.
+                    revision = None;
+                    let is_gone = matches!(error, StoreError::Status(STATUS_GONE));
+                    // The store may be well and only the connection silent: a new one shows it.
+                    let is_overdue = is_watch && matches!(error, StoreError::Timeout);
+                    if is_gone || is_overdue {
+                        log::info!("store: Reading all of {:?} again. {error}", self.prefix);
+                        continue;
+                    }
                     if failures == 0 {
                         log::info!("store: Cannot read {:?}. {error}", self.prefix);
                     }
-                    if matches!(error, StoreError::Status(STATUS_GONE)) {
-                        revision = None;
-                        continue;
-                    }
                     self.state.record_store_failure();
-                    // Only a complete list shows which entries expired during an outage.
-                    revision = None;
                     tokio::time::sleep(self.backoff(failures)).await;
                     failures += 1;
                 }
@@ -126,7 +134,9 @@
         let mut revision = None;
         let mut after: Option<SmolStr> = None;
         loop {
+            let sent_at = self.state.clock.now();
             let page = self.client.read_page(self.prefix, after.as_deref()).await?;
+            self.record_response_time(sent_at);
             // The following watch returns the changes that were made after the first page was read.
             let revision = *revision.get_or_insert(page.revision);
             items.extend(page.items);
@@ -149,11 +159,14 @@
     }
 
     async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
+        let sent_at = self.state.clock.now();
+        let limit = self.response_limit.limit();
         let changes = self
             .client
-            .watch(self.prefix, revision, WATCH_TIMEOUT)
+            .watch(self.prefix, revision, WATCH_TIMEOUT, limit)
             .await?;
         if changes.items.is_empty() {
+            self.record_response_time(sent_at + WATCH_TIMEOUT);
             return Ok(changes.revision);
         }
         let update = self
@@ -165,6 +178,13 @@
         Ok(changes.revision)
     }
 
+    /// Records the time of a response that the store could send from `due_at` on.
+    fn record_response_time(&mut self, due_at: Instant) {
+        let now = self.state.clock.now();
+        self.response_limit
+            .record(now.saturating_duration_since(due_at));
+    }
+
     /// Returns the delay before the next call. It grows with the number of peers, so that the
     /// retries of all daemons together stay limited. The jitter is a random factor from 0.5 to 1.5.
     fn backoff(&self, failures: u32) -> Duration {
