Send store updates also to daemons that are no members

Callers saw: routes that a confirmed version had replaced, at a machine whose backend server had crashed.

Cause: updates went to the machines of the member list. A daemon whose backend server has no entry still serves callers, but learned of a version only from the load messages that it gets in return for its own: up to three load intervals later, which is over 2 s from about 70 members on. Entries that start to drain reached it as late. Class: the receivers of a message were taken from a list that says who can run requests, not who needs the message.

Change: an update also goes to each connected daemon that is no member, over the connection that it opened. The registry of these connections is a type of its own, shared by listener and links.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -21,6 +21,7 @@
 pub mod peer_link;
 pub mod peer_links;
 pub mod peer_listener;
+pub mod sender_connections;
 pub mod store_client;
 pub mod store_contact;
 pub mod store_interface;
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -6,6 +6,7 @@
         fleet_state::FleetState,
         peer_frame::{HelloFrame, LoadFrame, PeerFrame, StoreUpdateFrame},
         peer_link::{LinkObserver, PeerLink},
+        sender_connections::SenderConnections,
     },
 };
 use std::{net::IpAddr, sync::Weak};
@@ -16,6 +17,8 @@
 
 /// Links to all peers.
 pub struct PeerLinks {
+    /// Connections in the other direction.
+    pub senders: SenderConnections,
     state: Arc<FleetState>,
     links: Mutex<IndexMap<SocketAddr, LinkEntry>>,
     weak_self: Weak<Self>,
@@ -30,6 +33,7 @@
     /// Creates an empty set of links.
     pub fn new(state: Arc<FleetState>) -> Arc<Self> {
         Arc::new_cyclic(|weak_self| Self {
+            senders: SenderConnections::default(),
             state,
             links: Mutex::default(),
             weak_self: weak_self.clone(),
@@ -56,11 +60,17 @@
         }
     }
 
-    /// Sends a store update to all peers, unless it is empty.
+    /// Sends a store update to all peers, unless it is empty. Daemons that are no members, for
+    /// example because their backend server crashed, get it over the connections that they opened.
     pub fn broadcast_update(&self, update: StoreUpdateFrame) {
-        if !update.items.is_empty() {
-            self.broadcast(&PeerFrame::StoreUpdate(Arc::new(update)));
+        if update.items.is_empty() {
+            return;
         }
+        let frame = PeerFrame::StoreUpdate(Arc::new(update));
+        self.broadcast(&frame);
+        let members = self.state.peer_addresses();
+        let is_member = |ip| members.binary_search_by_key(&ip, SocketAddr::ip).is_ok();
+        self.senders.send_where(|ip| !is_member(ip), &frame);
     }
 
     /// Applies the load of the daemon at an address, and requests its store state if this daemon
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -10,6 +10,7 @@
             CallFrame, HelloFrame, LoadFrame, NotRunReason, PeerFrame, ReplyFrame, RunResult,
         },
         peer_links::PeerLinks,
+        sender_connections::Outbox,
     },
 };
 use bytes::BytesMut;
@@ -39,22 +40,12 @@
 /// Most messages that are written together.
 const WRITE_BATCH: usize = 64;
 
-type Outbox = mpsc::UnboundedSender<PeerFrame>;
-
 /// Runs requests that peers send.
 pub struct PeerListener {
     state: Arc<FleetState>,
     links: Arc<PeerLinks>,
     runs: Mutex<RunTable<Arc<ReplyFrame>>>,
     tasks: Mutex<IndexMap<RunId, AbortHandle>>,
-    sender_connections: Mutex<IndexMap<u64, SenderConnection>>,
-}
-
-/// Connection over which a sender receives its results.
-struct SenderConnection {
-    /// Counter of the sender's connections.
-    number: u32,
-    outbox: Outbox,
 }
 
 impl PeerListener {
@@ -65,7 +56,6 @@
             links,
             runs: Mutex::default(),
             tasks: Mutex::default(),
-            sender_connections: Mutex::default(),
         })
     }
 
@@ -154,9 +144,7 @@
         };
         let now = self.state.clock.now();
         self.runs.lock().finish(id, Arc::clone(&reply), bytes, now);
-        if let Some(connection) = self.sender_connections.lock().get(&id.sender) {
-            let _ = connection.outbox.send(PeerFrame::Reply(reply));
-        }
+        self.links.senders.send(id.sender, PeerFrame::Reply(reply));
     }
 
     /// Returns the state of a run as a message for its sender.
@@ -288,17 +276,9 @@
 
     /// Registers this connection for the sender; returns false if the sender has a newer one.
     fn accept_hello(&mut self, hello: &HelloFrame, outbox: &Outbox) -> bool {
-        let mut connections = self.listener.sender_connections.lock();
-        let current = connections.get(&hello.daemon_id);
-        if current.is_some_and(|current| current.number > hello.connection_number) {
+        if !self.listener.links.senders.register(hello, outbox) {
             return false;
         }
-        let connection = SenderConnection {
-            number: hello.connection_number,
-            outbox: outbox.clone(),
-        };
-        connections.insert(hello.daemon_id, connection);
-        drop(connections);
         self.sender_id = Some(hello.daemon_id);
         let now = self.listener.state.clock.now();
         let mut selector = self.listener.state.selector.lock();
@@ -344,12 +324,7 @@
         let Some(sender) = self.sender_id else {
             return;
         };
-        let mut connections = self.listener.sender_connections.lock();
-        if connections
-            .get(&sender)
-            .is_some_and(|current| current.outbox.same_channel(outbox))
-        {
-            connections.swap_remove(&sender);
+        if self.listener.links.senders.remove(sender, outbox) {
             let now = self.listener.state.clock.now();
             self.listener.runs.lock().orphan(sender, now);
         }
