Detect silent connections to peers also while no call is pending

Callers would see old routes or requests to instances that left: an idle connection between daemons that went silent carried store updates and load messages into the void until a call happened to need it.

Cause: the same class as the silent connection to the store. Silence counted only while calls were pending, so that an idle peer and a lost connection looked the same.

Change: each load message on an idle connection takes a ping along. The limits with pending calls are unchanged. The decision moves out of the link into link_liveness, without I/O.

Test: peer_link::idle_connection_that_went_silent_is_replaced_in_time failed before (still silent after 3 s of virtual time) and passes.

--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     common::*,
+    decision::mesh::link_liveness::{LinkLiveness, LivenessAction},
     mesh::connection_end::ConnectionEnd,
     mesh::peer_frame::{CallFrame, HelloFrame, LoadFrame, PeerFrame, ReplyFrame, StoreUpdateFrame},
 };
@@ -20,17 +21,6 @@
 /// Delay between connection attempts while calls wait for their results.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
-/// Interval of the liveness checks of a connection with pending calls.
-const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(120);
-
-/// Time without received data after which a connection with pending calls is closed. The peer
-/// responds to a ping at once, also while its backend server is busy.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Delay beyond which a late liveness check shows that this process was paused. The time without
-/// received data is then not attributed to the peer.
-const MAX_CHECK_DELAY: Duration = Duration::from_millis(600);
-
 /// Size of one read in bytes.
 const READ_BYTES: usize = 16 << 10;
 
@@ -71,6 +61,12 @@
     Frame(PeerFrame),
 }
 
+impl Outgoing {
+    fn is_load(&self) -> bool {
+        matches!(self, Self::Frame(PeerFrame::Load(_)))
+    }
+}
+
 #[derive(Debug)]
 struct PendingCall {
     /// Request; `None` once it has been sent.
@@ -209,6 +205,11 @@
         !self.pending.lock().is_empty()
     }
 
+    fn has_sent_calls(&self) -> bool {
+        let pending = self.pending.lock();
+        pending.values().any(|call| call.frame.is_none())
+    }
+
     fn pending_count(&self) -> usize {
         self.pending.lock().len()
     }
@@ -309,9 +310,7 @@
             self.encode(first, &mut output);
         }
         let mut batch = Vec::with_capacity(WRITE_BATCH);
-        let mut last_received = self.observer.now();
-        let mut last_check = last_received;
-        let mut next_check = last_received + LIVENESS_CHECK_INTERVAL;
+        let mut liveness = LinkLiveness::new(self.observer.now());
         loop {
             tokio::select! {
                 written = writer.write_buf(&mut output), if !output.is_empty() => {
@@ -325,11 +324,10 @@
                     if received == 0 {
                         return ConnectionEnd::Unused;
                     }
-                    if self.link.has_no_sent_calls() {
-                        // Without sent calls no data was expected from the peer.
-                        last_received = self.observer.now();
-                        last_check = last_received;
-                        next_check = last_received + LIVENESS_CHECK_INTERVAL;
+                    let has_load = batch.iter().any(Outgoing::is_load);
+                    let has_sent_calls = self.link.has_sent_calls();
+                    if liveness.record_send(has_sent_calls, has_load, self.observer.now()) {
+                        PeerFrame::Ping.encode(&mut output);
                     }
                     for outgoing in batch.drain(..) {
                         self.encode(outgoing, &mut output);
@@ -338,7 +336,7 @@
                 read = read_available(&mut reader, &mut input) => {
                     match read {
                         Ok(0) => return ConnectionEnd::PeerClosed,
-                        Ok(_) => last_received = self.observer.now(),
+                        Ok(_) => liveness.record_received(self.observer.now()),
                         Err(error) => return error.into(),
                     }
                     loop {
@@ -349,21 +347,16 @@
                         }
                     }
                 }
-                () = tokio::time::sleep_until(next_check.into()), if self.link.has_pending() => {
-                    let now = self.observer.now();
-                    if now > last_check + LIVENESS_CHECK_INTERVAL + MAX_CHECK_DELAY {
-                        last_received = now;
-                    }
-                    last_check = now;
-                    next_check = now + LIVENESS_CHECK_INTERVAL;
-                    if now > last_received + PEER_TIMEOUT {
-                        return ConnectionEnd::Silent {
-                            silence: now.saturating_duration_since(last_received),
-                            pending: self.link.pending_count(),
-                        };
-                    }
-                    if now > last_received + LIVENESS_CHECK_INTERVAL {
-                        PeerFrame::Ping.encode(&mut output);
+                () = tokio::time::sleep_until(liveness.next_check().into()),
+                    if liveness.is_pong_due() || self.link.has_pending() =>
+                {
+                    match liveness.check(self.link.has_pending(), self.observer.now()) {
+                        LivenessAction::Wait => {}
+                        LivenessAction::Ping => PeerFrame::Ping.encode(&mut output),
+                        LivenessAction::Close(silence) => {
+                            let pending = self.link.pending_count();
+                            return ConnectionEnd::Silent { silence, pending };
+                        }
                     }
                 }
             }
@@ -419,13 +412,6 @@
     }
 }
 
-impl PeerLink {
-    fn has_no_sent_calls(&self) -> bool {
-        let pending = self.pending.lock();
-        !pending.values().any(|call| call.frame.is_none())
-    }
-}
-
 async fn read_available(
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
     input: &mut BytesMut,
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -26,8 +26,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Time after which a run is cancelled whose sender has lost its connection. A sender detects a
-/// silent connection within about 1.1 s (`PEER_TIMEOUT`, `LIVENESS_CHECK_INTERVAL` and
-/// `MAX_CHECK_DELAY` of `peer_link`) and needs up to 0.5 s to open a new one (`RECONNECT_DELAY` and
+/// silent connection within about 1.1 s (`CALL_SILENCE_LIMIT`, `CHECK_INTERVAL` and
+/// `MAX_CHECK_DELAY` of `link_liveness`) and needs up to 0.5 s to open a new one (`RECONNECT_DELAY` and
 /// `CONNECT_TIMEOUT`).
 const ORPHAN_TIMEOUT: Duration = Duration::from_millis(1_800);
 
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -73,7 +73,7 @@
     }
 
     fn now(&self) -> Instant {
-        Instant::now()
+        tokio::time::Instant::now().into_std()
     }
 }
 
@@ -267,6 +267,27 @@
     Scenario::start().await.check_interruption(true).await;
 }
 
+/// Guards against updates of the store that never arrive because an idle connection went silent, and
+/// the daemon takes it for a peer without news.
+#[tokio::test(start_paused = true)]
+async fn idle_connection_that_went_silent_is_replaced_in_time() {
+    const LOAD_INTERVAL: Duration = Duration::from_millis(400);
+    const BOUND: Duration = Duration::from_secs(3);
+    let scenario = Scenario::start().await;
+    let load = scenario.state.update_plan();
+    scenario.link.send(PeerFrame::Load(Arc::clone(&load)));
+    let mut loads = scenario.observer.loads.subscribe();
+    let _ = loads.wait_for(|ids| !ids.is_empty()).await;
+    scenario.proxy.interrupt_connections(true);
+    let silent_at = tokio::time::Instant::now();
+    while loads.borrow().len() < 2 && silent_at.elapsed() <= BOUND {
+        tokio::time::sleep(LOAD_INTERVAL).await;
+        scenario.link.send(PeerFrame::Load(Arc::clone(&load)));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(loads.borrow().len() >= 2, "the connection is still silent");
+}
+
 /// Guards against a run that continues although its caller has cancelled the request.
 #[tokio::test]
 async fn dropped_call_is_cancelled_at_the_backend_server() {
