Count a daemon as a reader of the store only while responses are recent

Cause: a reader was counted by the election, not by when the store last responded to it.

Change: the status that peers count says that a daemon reads while it has read everything once and the last response for each prefix is at most 3 s old, the longest time that a watch can take.

Tests: reader_without_responses_does_not_count fails with the status of before; slow_store_is_not_taken_for_a_silent_one guards the adaptive limit: with a store that needs 1 s, connections are kept and a change is in force in time.

--- a/src/decision/mesh/reader_election.rs
+++ b/src/decision/mesh/reader_election.rs
@@ -27,7 +27,7 @@
 pub struct StoreStatus {
     /// Data centre of the daemon.
     pub data_centre: SmolStr,
-    /// Whether the daemon reads the store and the store responds.
+    /// Whether the daemon reads the store and got its last responses in time.
     pub is_reading: bool,
     /// Revision of the store up to which the daemon has all entries.
     pub entries_revision: u64,
--- a/src/decision/mesh/response_limit.rs
+++ b/src/decision/mesh/response_limit.rs
@@ -2,6 +2,11 @@
 
 use crate::common::*;
 
+/// Time for which a watch waits for changes. A connection that went silent is detected only when
+/// its response is overdue, so a shorter time puts changes in force earlier after such a fault; a
+/// longer one needs fewer calls.
+pub const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Shortest limit. The store usually responds within milliseconds.
 const MIN_LIMIT: Duration = Duration::from_millis(500);
 
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -302,9 +302,10 @@
 
     /// Returns how this daemon reads the store and how recent its state is, as sent to peers.
     pub fn store_status(&self) -> StoreStatus {
+        let is_current = self.store_contact.lock().is_current(self.clock.now());
         StoreStatus {
             data_centre: self.settings.data_centre.clone(),
-            is_reading: self.reader_election.lock().is_reading() && !self.is_store_unreachable(),
+            is_reading: is_current && !self.is_store_unreachable(),
             entries_revision: self.update_gap.lock().revision(),
             config_version: self.routes().map_or(0, |routes| routes.version().0),
         }
--- a/src/mesh/store_contact.rs
+++ b/src/mesh/store_contact.rs
@@ -1,8 +1,16 @@
 //! How recent the values of the store are that a daemon has.
 
-use crate::{common::*, mesh::store_interface::StorePrefix};
+use crate::{
+    common::*,
+    decision::mesh::response_limit::{MAX_RESPONSE_LIMIT, WATCH_TIMEOUT},
+    mesh::store_interface::StorePrefix,
+};
 use std::net::IpAddr;
 
+/// Longest time since the last response of the store for which a daemon counts as a reader: a watch
+/// and the longest limit of its response.
+const MAX_RESPONSE_AGE: Duration = WATCH_TIMEOUT.saturating_add(MAX_RESPONSE_LIMIT);
+
 /// Way by which values of the store arrived at this daemon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpdateSource {
@@ -59,6 +67,12 @@
         Some(now.saturating_duration_since(oldest))
     }
 
+    /// Returns whether this daemon has read the whole store and got its last responses in time.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.response_age(now)
+            .is_some_and(|age| age <= MAX_RESPONSE_AGE)
+    }
+
     fn last_response(&mut self, prefix: StorePrefix) -> &mut Option<Instant> {
         match prefix {
             StorePrefix::Config => &mut self.config_response,
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     common::*,
-    decision::mesh::response_limit::ResponseLimit,
+    decision::mesh::response_limit::{ResponseLimit, WATCH_TIMEOUT},
     mesh::{
         fleet_state::FleetState,
         peer_links::PeerLinks,
@@ -13,11 +13,6 @@
 };
 use tokio::sync::watch;
 
-/// Time for which a watch waits for changes. A connection that went silent is detected only when
-/// its response is overdue, so a shorter time puts changes in force earlier after such a fault; a
-/// longer one needs fewer calls.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Delay before the next watch after changes. Deployments write several entries within a second,
 /// and each call to the store is billed.
 const BATCH_DELAY: Duration = Duration::from_millis(150);
--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -152,6 +152,8 @@
     connections: Mutex<usize>,
     /// The connections up to this number stay open and get no more responses.
     silent_connections: Mutex<usize>,
+    /// Time by which each response is late.
+    response_delay: Mutex<Duration>,
 }
 
 impl StoreStandIn {
@@ -162,6 +164,7 @@
             revision: Mutex::new(10),
             connections: Mutex::default(),
             silent_connections: Mutex::default(),
+            response_delay: Mutex::default(),
         });
         let serving = Arc::clone(&store);
         tokio::spawn(async move {
@@ -189,6 +192,21 @@
         *self.revision.lock() += 1;
     }
 
+    /// Sends no more responses on any connection.
+    pub fn stop_responding(&self) {
+        *self.silent_connections.lock() = usize::MAX;
+    }
+
+    /// Sends each response later by this time.
+    pub fn delay_responses(&self, delay: Duration) {
+        *self.response_delay.lock() = delay;
+    }
+
+    /// Returns the number of connections accepted so far.
+    pub fn connection_count(&self) -> usize {
+        *self.connections.lock()
+    }
+
     async fn serve(self: Arc<Self>, mut stream: TcpStream, number: usize) {
         use base64::{Engine, engine::general_purpose::STANDARD};
         while let Some(head) = read_message(&mut stream).await {
@@ -205,6 +223,8 @@
             if number <= *self.silent_connections.lock() {
                 std::future::pending::<()>().await;
             }
+            let delay = *self.response_delay.lock();
+            tokio::time::sleep(delay).await;
             let revision = *self.revision.lock();
             let items: Vec<String> = self
                 .items
--- a/tests/mesh/store_reader.rs
+++ b/tests/mesh/store_reader.rs
@@ -87,6 +87,32 @@
     }
 }
 
+/// Guards against daemons that do not read the store because of a reader whose connections are
+/// silent and that still reports that it reads.
+#[tokio::test(start_paused = true)]
+async fn reader_without_responses_does_not_count() {
+    let scenario = Scenario::start().await;
+    assert!(scenario.state.store_status().is_reading);
+    scenario.store.stop_responding();
+    tokio::time::sleep(SILENCE_BOUND).await;
+    assert!(!scenario.state.store_status().is_reading);
+}
+
+/// Guards against a store that responds slowly and whose connections are given up again and again.
+#[tokio::test(start_paused = true)]
+async fn slow_store_is_not_taken_for_a_silent_one() {
+    let scenario = Scenario::start().await;
+    scenario.store.delay_responses(Duration::from_millis(1_000));
+    // The first slow response is overdue; the limit follows the response times after that.
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let connections = scenario.store.connection_count();
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(scenario.store.connection_count(), connections);
+    scenario.store.put("op/config", &config(2));
+    let time = scenario.time_to_version(2).await;
+    assert!(time <= SILENCE_BOUND, "{time:?}");
+}
+
 /// Guards against routes that stay in force after a later version was published, because the
 /// connection to the store is silent and the reader takes it for a store without changes.
 #[tokio::test(start_paused = true)]
