Detect silent connections of platform watches after 3 s in the product's own mode

Callers would see: a published profile that is not in force for up to 25 s, while the promise is seconds.

A reader of the product's own configuration service (`run`) waited 20 s for a watch and 5 s more for its response, and could not tell a silent connection from a quiet service.

Change: a watch waits 1.5 s and its response may take 1.5 s more. The limit of reads, which return up to 1 MB, stays at 5 s. At most 48 readers watch, so the calls of watches stay under 50 of the 2,000 a second.

Ruled out elsewhere by reading the code: control calls between daemons end after 2 s, probes after 1 s, exports after 5 s, and pooled connections are used again for 4 s at most.

Test: silent_platform::watch_on_a_silent_connection_ends_in_time took 25 s of virtual time before, bound 3 s, and passes.

--- a/src/controller/platform_controller.rs
+++ b/src/controller/platform_controller.rs
@@ -13,8 +13,9 @@
     shell::platform_client::{IndexChange, PlatformClient, PlatformError},
 };
 
-/// Max wait of a watch request at the platform.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Max wait of a watch request at the platform. A connection that went silent is detected only when
+/// the response to its watch is overdue.
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Executes the platform calls that the catalogue requests and passes the results to it.
 pub struct PlatformController {
--- a/src/shell/platform_client.rs
+++ b/src/shell/platform_client.rs
@@ -8,8 +8,11 @@
 
 pub use crate::decision::catalogue::catalogue_value::MAX_VALUE_BYTES;
 
-/// Maximum time of a request, in addition to the wait time of a watch.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time of a read.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Maximum time of a watch, in addition to its wait time. Its response is small.
+const WATCH_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Key of the configuration catalogue with its current version.
 #[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
@@ -66,7 +69,7 @@
 
     /// Returns the whole index.
     pub async fn index(&self) -> Result<IndexChange, PlatformError> {
-        let (_, bytes) = self.get("/v1/index", Duration::ZERO).await?;
+        let (_, bytes) = self.get("/v1/index", READ_TIMEOUT).await?;
         serde_json::from_slice(&bytes).map_err(|_| PlatformError::InvalidResponse)
     }
 
@@ -74,14 +77,14 @@
     pub async fn watch(&self, revision: u64, wait: Duration) -> Result<IndexChange, PlatformError> {
         let wait_ms = wait.as_millis();
         let path = format!("/v1/watch?after={revision}&wait_ms={wait_ms}");
-        let (_, bytes) = self.get(&path, wait).await?;
+        let (_, bytes) = self.get(&path, wait + WATCH_RESPONSE_TIMEOUT).await?;
         serde_json::from_slice(&bytes).map_err(|_| PlatformError::InvalidResponse)
     }
 
     /// Returns the version and the bytes of a value.
     pub async fn value(&self, key: &str) -> Result<(u64, Bytes), PlatformError> {
         let path = format!("/v1/values/{key}");
-        match self.get(&path, Duration::ZERO).await {
+        match self.get(&path, READ_TIMEOUT).await {
             Err(PlatformError::Status(StatusCode::NOT_FOUND)) => {
                 Err(PlatformError::KeyNotFound(key.into()))
             }
@@ -89,8 +92,8 @@
         }
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<(u64, Bytes), PlatformError> {
-        tokio::time::timeout(wait + REQUEST_TIMEOUT, self.read(path))
+    async fn get(&self, path: &str, limit: Duration) -> Result<(u64, Bytes), PlatformError> {
+        tokio::time::timeout(limit, self.read(path))
             .await
             .map_err(|_| PlatformError::TimedOut)?
     }
--- a/tests/catalogue/main.rs
+++ b/tests/catalogue/main.rs
@@ -5,3 +5,4 @@
 mod message_decoders;
 mod platform_call_rate;
 mod propagation;
+mod silent_platform;
