Let connections go silent in the soak, and check that configurations are in force

Each fourth seed is now a round in which all open connections to the store and between groups go silent, with configuration changes from 0.1 s before to 3.9 s after. A run is a violation if no configuration that may be in force 2 s after its confirmation allows its service; requests within 3 s after a fault are excluded. Plans of the other seeds, so of all rounds that once failed, are the same as before.

--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -5,6 +5,13 @@
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
+/// Each round whose seed is one less than a multiple of this has silent connections and no other
+/// faults.
+const SILENCE_SEED_STEP: u64 = 4;
+
+/// Longest time from a configuration change to the silence of the connections that follows it.
+const BEFORE_SILENCE: Duration = Duration::from_millis(100);
+
 /// Fault to inject.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -45,6 +52,8 @@
     MalformedEntries,
     /// The store gets the next configuration.
     ConfigChange,
+    /// All open connections to the store and between groups stay open and deliver nothing any more.
+    SilentConnections,
 }
 
 /// Fault with the time at which it is injected.
@@ -65,6 +74,9 @@
     groups: usize,
 ) -> Vec<TimedFault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    if seed % SILENCE_SEED_STEP == SILENCE_SEED_STEP - 1 {
+        return silent_connections(&mut rng, round_duration);
+    }
     // Some rounds have fewer faults, so that these affect a fleet that has recovered.
     let mean_gap_ms = [250, 500, 1_500, 4_000][rng.random_range(0..4)];
     let mut at = Duration::from_millis(200);
@@ -85,6 +97,28 @@
     faults
 }
 
+/// Generates rounds whose connections go silent, with configuration changes shortly before and after.
+fn silent_connections(rng: &mut Pcg64Mcg, round_duration: Duration) -> Vec<TimedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(1_000);
+    while at < round_duration {
+        let mut inject = |at, fault| {
+            faults.push(TimedFault {
+                at,
+                duration: Duration::ZERO,
+                fault,
+            });
+        };
+        inject(at, Fault::SilentConnections);
+        for _ in 0..2 {
+            let delay = Duration::from_millis(rng.random_range(0..4_000));
+            inject(at + delay - BEFORE_SILENCE, Fault::ConfigChange);
+        }
+        at += Duration::from_millis(rng.random_range(6_000..9_000));
+    }
+    faults
+}
+
 fn random_fault(rng: &mut Pcg64Mcg, machines: usize, groups: usize) -> Fault {
     let machine = rng.random_range(0..machines);
     match rng.random_range(0..20) {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -266,6 +266,7 @@
             .collect();
         let routes = routes.join(",");
         let config = format!(r#"{{"version":"r{version}","routes":[{routes}],"services":[]}}"#);
+        self.history.record_config(version);
         self.store.put("op/config", Some(config));
     }
 
@@ -340,6 +341,11 @@
                 self.publish_next_config();
                 return;
             }
+            Fault::SilentConnections => {
+                self.store.silence_connections();
+                let proxies = self.proxies.iter().flatten().flatten();
+                proxies.for_each(|proxy| proxy.silence_connections());
+            }
         }
         for machine in machines {
             let is_pause = matches!(fault, Fault::Pause { .. });
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -9,6 +9,7 @@
 //! - `ROUTE`: no configuration allows the service that ran a request. Follows `UNASKED`.
 //! - `BUDGET`: a request was run too often, or a service got too many retries.
 //! - `LOST`: a request got no response, and no fault accounts for it.
+//! - `CONFIG`: a request was run as only an older configuration allows.
 //! - `DRAIN`: a backend server got requests to run too long after its drain began.
 //! - `RECOVER`: a daemon does not serve requests after its start or after the last fault.
 //! - `END`: a daemon exited unexpectedly, with an error or not in time.
@@ -31,7 +32,11 @@
 /// is draining.
 const DRAIN_PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
-/// Time without a fault that must precede a drain for it to be checked.
+/// Time within which a configuration must be in force everywhere after the store has confirmed it.
+const CONFIG_APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// Time without a fault that must precede a drain, or a request that is checked for its
+/// configuration.
 const FAULT_FREE_TIME: Duration = Duration::from_secs(3);
 
 /// Window of the retry budget.
@@ -120,6 +125,8 @@
     fault_spans: Mutex<Vec<FaultSpan>>,
     /// Draining instances, each with the time at which the store confirmed its drain.
     draining: Mutex<Vec<(String, Instant)>>,
+    /// Configuration versions, each with the time at which the store confirmed it.
+    configs: Mutex<Vec<(usize, Instant)>>,
     /// Violations that were detected during the round.
     recorded_violations: Mutex<Vec<String>>,
 }
@@ -183,6 +190,11 @@
         draining.push((instance.to_owned(), Instant::now()));
     }
 
+    /// Records that the store is about to confirm a configuration.
+    pub fn record_config(&self, version: usize) {
+        self.configs.lock().push((version, Instant::now()));
+    }
+
     /// Records a violation that was detected during the round.
     pub fn record_violation(&self, violation: String) {
         self.recorded_violations.lock().push(violation);
@@ -215,6 +227,11 @@
         }
         violations.extend(retry_budget_violations(&requests));
         if checks_time_bounds {
+            violations.extend(config_violations(
+                &requests,
+                &self.configs.lock(),
+                &fault_spans,
+            ));
             violations.extend(drain_violations(
                 &requests,
                 &self.draining.lock(),
@@ -381,6 +398,43 @@
     violations
 }
 
+/// Checks that each request is run by a service that some configuration allows which may still be in
+/// force. Configuration `version` assigns a route to the service at `version` modulo the number of
+/// its services. Requests with a fault within [`FAULT_FREE_TIME`] before them are excluded.
+fn config_violations(
+    requests: &HashMap<String, RequestRecord>,
+    configs: &[(usize, Instant)],
+    fault_spans: &[FaultSpan],
+) -> Vec<String> {
+    let mut violations = Vec::new();
+    for (attempt_id, record) in requests {
+        let Some(sent) = &record.sent else {
+            continue;
+        };
+        let in_time = |confirmed: Instant| confirmed + CONFIG_APPLY_TIME < sent.sent_at;
+        let known = configs.iter().rfind(|(_, confirmed)| in_time(*confirmed));
+        let is_excluded = fault_spans
+            .iter()
+            .any(|span| span.begin <= sent.sent_at && span.end + FAULT_FREE_TIME >= sent.sent_at);
+        let Some((oldest, _)) = known.filter(|_| !is_excluded) else {
+            continue;
+        };
+        let services = &sent.allowed_services;
+        for arrival in record.arrivals.iter().filter(|arrival| arrival.is_run) {
+            let mut versions = configs.iter().filter(|(version, confirmed)| {
+                version >= oldest && *confirmed <= arrival.arrived_at
+            });
+            if !versions.any(|(version, _)| services[version % services.len()] == arrival.service) {
+                violations.push(format!(
+                    "CONFIG: {attempt_id} was run by {} although version {oldest} was confirmed",
+                    arrival.service
+                ));
+            }
+        }
+    }
+    violations
+}
+
 /// Checks that draining instances get no requests after [`DRAIN_PROPAGATION_TIME`]. Requests are
 /// excluded if a fault was active between [`FAULT_FREE_TIME`] before the drain and their arrival.
 fn drain_violations(
--- a/tests/soak/history_checks.rs
+++ b/tests/soak/history_checks.rs
@@ -143,3 +143,25 @@
     let found = history.violations(true).join("; ");
     assert!(found.contains("DRAIN"), "{found}");
 }
+
+#[test]
+fn run_by_an_old_configuration_is_reported() {
+    let history = History::default();
+    history.record_config(0);
+    history.record_config(1);
+    let late = Instant::now() + Duration::from_secs(3);
+    for (attempt_id, service) in [("t", "sb"), ("u", "sa")] {
+        let request = SentRequest {
+            sent_at: late,
+            allowed_services: vec!["sa".to_owned(), "sb".to_owned()],
+            ..sent(false)
+        };
+        history.record_sent(attempt_id, request);
+        let mut arrival = run("i", service);
+        arrival.arrived_at = late;
+        history.record_arrival(attempt_id, HEAD, arrival);
+    }
+    let found = history.violations(true).join("; ");
+    assert!(found.contains("CONFIG: u was run by sa"), "{found}");
+    assert!(!found.contains("CONFIG: t"), "{found}");
+}
--- a/tests/soak/link_proxy.rs
+++ b/tests/soak/link_proxy.rs
@@ -30,6 +30,8 @@
 /// TCP proxy between a group of daemons and one daemon of another group.
 pub struct LinkProxy {
     mode: watch::Sender<LinkMode>,
+    /// Counts how often the open connections went silent.
+    silences: watch::Sender<u32>,
 }
 
 impl LinkProxy {
@@ -39,12 +41,20 @@
             .await
             .expect("failed to bind the address of the proxy");
         let (mode, modes) = watch::channel(LinkMode::Forward);
+        let silences = watch::Sender::new(0);
+        let silence_signal = silences.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward_connection(stream, target, modes.clone()));
+                let silence = silence_signal.subscribe();
+                tokio::spawn(forward_connection(stream, target, modes.clone(), silence));
             }
         });
-        Arc::new(Self { mode })
+        Arc::new(Self { mode, silences })
+    }
+
+    /// Delivers nothing any more on the connections that are open. New ones work.
+    pub fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
     }
 
     /// Sets the mode of all current and future connections.
@@ -57,6 +67,7 @@
     client: TcpStream,
     target: SocketAddr,
     mut modes: watch::Receiver<LinkMode>,
+    mut silence: watch::Receiver<u32>,
 ) {
     if *modes.borrow() == LinkMode::Reset {
         return;
@@ -70,29 +81,35 @@
     };
     let _ = client.set_nodelay(true);
     let _ = target_stream.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (target_read, target_write) = target_stream.into_split();
+    let (mut client_read, mut client_write) = client.into_split();
+    let (mut target_read, mut target_write) = target_stream.into_split();
     let to_target = forward_bytes(
-        client_read,
-        target_write,
+        &mut client_read,
+        &mut target_write,
         modes.clone(),
         LinkMode::StallToTarget,
     );
     let from_target = forward_bytes(
-        target_read,
-        client_write,
+        &mut target_read,
+        &mut client_write,
         modes.clone(),
         LinkMode::StallFromTarget,
     );
-    tokio::select! {
-        () = async { tokio::join!(to_target, from_target); } => {}
-        _ = modes.wait_for(|mode| *mode == LinkMode::Reset) => {}
+    let is_silent = tokio::select! {
+        () = async { tokio::join!(to_target, from_target); } => false,
+        _ = modes.wait_for(|mode| *mode == LinkMode::Reset) => false,
+        changed = silence.changed() => changed.is_ok(),
+    };
+    if is_silent {
+        // Both connections stay open until the client gives its one up.
+        let mut buffer = vec![0; 16_384];
+        while matches!(client_read.read(&mut buffer).await, Ok(1..)) {}
     }
 }
 
 async fn forward_bytes(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     mut modes: watch::Receiver<LinkMode>,
     stall_mode: LinkMode,
 ) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -44,7 +44,7 @@
 const SHORT_ROUND_DURATION: Duration = Duration::from_secs(5);
 
 /// Seeds of the rounds without `SOAK_SEEDS`.
-const SHORT_ROUND_SEEDS: [u64; 2] = [1, 2];
+const SHORT_ROUND_SEEDS: [u64; 3] = [1, 2, 3];
 
 /// Rounds that once had a violation, as seed and duration in seconds. They are always executed.
 const REGRESSION_ROUNDS: [(u64, u64); 3] = [
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -46,6 +46,8 @@
     content: Mutex<StoreContent>,
     changes: watch::Sender<u64>,
     endpoint_modes: Mutex<Vec<EndpointMode>>,
+    /// Counts how often the open connections went silent.
+    silences: watch::Sender<u32>,
 }
 
 impl Store {
@@ -54,6 +56,7 @@
         let store = Arc::new(Self {
             content: Mutex::default(),
             changes: watch::Sender::new(0),
+            silences: watch::Sender::new(0),
             endpoint_modes: Mutex::new(vec![EndpointMode::Serve; addresses.len()]),
         });
         for (endpoint, address) in addresses.iter().enumerate() {
@@ -89,6 +92,11 @@
         let _ = self.changes.send(content.revision);
     }
 
+    /// Sends no more responses on the connections that are open. New ones work.
+    pub fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// Sets the mode of one endpoint, or of all.
     pub fn set_endpoint_mode(&self, endpoint: Option<usize>, mode: EndpointMode) {
         let mut endpoint_modes = self.endpoint_modes.lock();
@@ -101,8 +109,14 @@
 
     async fn serve(self: Arc<Self>, endpoint: usize, stream: TcpStream) {
         let mut stream = BufStream::new(stream);
+        let silence = *self.silences.borrow();
         while let Some(head) = read_message(&mut stream).await {
             let (status, body) = self.respond(&head).await;
+            if *self.silences.borrow() != silence {
+                // Ends when the daemon gives the connection up.
+                while read_message(&mut stream).await.is_some() {}
+                return;
+            }
             // The mode is read after the wait of a watch, so that it also affects waiting calls.
             let mode = self.endpoint_modes.lock()[endpoint];
             let (status, body) = match mode {
