Close a peer's connection when the peer has replaced it

Operators would see: memory and file descriptors of a daemon grow with each event that silences connections.

Cause: a connection that went silent is closed by the daemon that opened it, with a reset that does not arrive. The accepting side expects nothing and keeps it, with its buffer of 16 KB, for good.

Change: when a sender registers a newer connection, the older one is closed. Results of runs are kept by the run table and sent over the newer one, as before.

Test: peer_link::connection_that_its_sender_replaced_is_closed failed before (still open after 10 s) and passes.

--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -18,7 +18,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{Notify, mpsc},
     task::AbortHandle,
 };
 
@@ -68,6 +68,7 @@
                         listener: Arc::clone(&self),
                         sender_id: None,
                         peer_ip: None,
+                        replaced: Arc::default(),
                         min_clock_difference_us: i64::MAX,
                     };
                     tokio::spawn(async move {
@@ -171,6 +172,8 @@
     listener: Arc<PeerListener>,
     sender_id: Option<u64>,
     peer_ip: Option<IpAddr>,
+    /// Notified when the sender has opened a newer connection.
+    replaced: Arc<Notify>,
     /// Smallest observed difference between the clock of this daemon at the receipt of a request
     /// and that of the sender when it was queued, in microseconds.
     min_clock_difference_us: i64,
@@ -196,8 +199,10 @@
         let mut output = BytesMut::new();
         let mut batch = Vec::with_capacity(WRITE_BATCH);
         PeerFrame::Hello(self.listener.state.hello()).encode(&mut output);
+        let replaced = Arc::clone(&self.replaced);
         loop {
             tokio::select! {
+                () = replaced.notified() => return ConnectionEnd::Replaced,
                 written = writer.write_buf(&mut output), if !output.is_empty() => {
                     match written {
                         Ok(0) => return io::Error::from(io::ErrorKind::WriteZero).into(),
@@ -276,7 +281,12 @@
 
     /// Registers this connection for the sender; returns false if the sender has a newer one.
     fn accept_hello(&mut self, hello: &HelloFrame, outbox: &Outbox) -> bool {
-        if !self.listener.links.senders.register(hello, outbox) {
+        if !self
+            .listener
+            .links
+            .senders
+            .register(hello, outbox, &self.replaced)
+        {
             return false;
         }
         self.sender_id = Some(hello.daemon_id);
--- a/src/mesh/sender_connections.rs
+++ b/src/mesh/sender_connections.rs
@@ -5,7 +5,7 @@
     mesh::peer_frame::{HelloFrame, PeerFrame},
 };
 use std::net::IpAddr;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// Queue of the messages that are sent over one connection.
 pub type Outbox = mpsc::UnboundedSender<PeerFrame>;
@@ -23,11 +23,14 @@
     number: u32,
     ip: IpAddr,
     outbox: Outbox,
+    /// Notified when the sender has opened a newer connection.
+    replaced: Arc<Notify>,
 }
 
 impl SenderConnections {
-    /// Registers the connection of a sender; returns false if the sender has a newer one.
-    pub fn register(&self, hello: &HelloFrame, outbox: &Outbox) -> bool {
+    /// Registers the connection of a sender; returns false if the sender has a newer one. An older
+    /// one, which may be silent and would stay open for good, is notified through `replaced`.
+    pub fn register(&self, hello: &HelloFrame, outbox: &Outbox, replaced: &Arc<Notify>) -> bool {
         let mut connections = self.connections.lock();
         let current = connections.get(&hello.daemon_id);
         if current.is_some_and(|current| current.number > hello.connection_number) {
@@ -37,8 +40,12 @@
             number: hello.connection_number,
             ip: hello.ip,
             outbox: outbox.clone(),
+            replaced: Arc::clone(replaced),
         };
-        connections.insert(hello.daemon_id, connection);
+        let older = connections.insert(hello.daemon_id, connection);
+        if let Some(older) = older.filter(|older| !older.outbox.same_channel(outbox)) {
+            older.replaced.notify_one();
+        }
         true
     }
 
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -397,6 +397,35 @@
     wait_for(&mut current, is_reply).await;
 }
 
+/// Guards against connections that stay open for good, and their memory, after they went silent and
+/// the sender has replaced them.
+#[tokio::test]
+async fn connection_that_its_sender_replaced_is_closed() {
+    let scenario = Scenario::start().await;
+    let mut connections = Vec::new();
+    for connection_number in [1, 2] {
+        let mut stream = TcpStream::connect(scenario.peer)
+            .await
+            .expect("a connection");
+        let mut bytes = BytesMut::new();
+        let hello = HelloFrame {
+            connection_number,
+            ..FrameObserver::default().hello()
+        };
+        PeerFrame::Hello(hello).encode(&mut bytes);
+        stream
+            .write_all(&bytes)
+            .await
+            .expect("the handshake is sent");
+        wait_for_pong(&mut stream).await;
+        connections.push(stream);
+    }
+    let mut rest = Vec::new();
+    let closing = connections[0].read_to_end(&mut rest);
+    let closed = timeout(TEST_TIMEOUT, closing).await;
+    assert!(closed.is_ok(), "the first connection is still open");
+}
+
 async fn wait_for_pong(stream: &mut TcpStream) {
     let mut bytes = BytesMut::new();
     PeerFrame::Ping.encode(&mut bytes);
