Move the application of store updates out of the fleet state's file

The part that applies what the store or a peer says is a module of its own now; nothing else changes.

--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -1,5 +1,7 @@
 //! State shared by all requests at a daemon.
 
+mod store_updates;
+
 use crate::{
     common::*,
     decision::{
@@ -8,7 +10,7 @@
             admission_plan::{AdmissionPlan, AdmissionPlanner},
             entry_admission::EntryAdmission,
             fleet_retry_budget::FleetRetryBudget,
-            fleet_view::{FleetView, VersionedEntry},
+            fleet_view::FleetView,
             instance_selector::InstanceSelector,
             reader_election::{ReaderElection, StoreStatus},
             route_table::RouteTable,
@@ -21,9 +23,9 @@
         executor::Executor,
         mesh_metrics::{MeshMetrics, ViewReport},
         mesh_settings::MeshSettings,
-        peer_frame::{HelloFrame, LoadFrame, StoreUpdateFrame},
-        store_contact::{StoreContact, UpdateSource},
-        store_interface::{StoreFormat, StoreItem, StorePrefix},
+        peer_frame::{HelloFrame, LoadFrame},
+        store_contact::StoreContact,
+        store_interface::{StoreFormat, StoreItem},
     },
 };
 use std::{
@@ -346,284 +348,6 @@
         *self.latest_load.lock() = Some(Arc::clone(&load));
         load
     }
-
-    /// Returns the route configuration and all entries that this daemon has.
-    pub fn full_store_state(&self) -> StoreUpdateFrame {
-        let revision = self.update_gap.lock().revision();
-        let items = self.items.lock();
-        let entries = items.entries.values();
-        let items = items.config.iter().chain(entries).cloned().collect();
-        self.store_update(items, revision > 0, 0)
-    }
-
-    /// Creates the update that sends items to peers.
-    fn store_update(
-        &self,
-        items: Vec<StoreItem>,
-        is_complete: bool,
-        previous: u64,
-    ) -> StoreUpdateFrame {
-        let now = self.clock.now();
-        let recovered_at = self.view.lock().recovered_at(now);
-        StoreUpdateFrame {
-            items,
-            is_complete,
-            previous_revision: previous,
-            last_revision: self.update_gap.lock().revision(),
-            since_store_recovery_ms: recovered_at
-                .map(|at| now.saturating_duration_since(at).as_millis() as u32),
-        }
-    }
-
-    /// Applies changes that this daemon read from the store; returns the update for the peers.
-    pub fn apply_store_changes(
-        &self,
-        source: UpdateSource,
-        items: &[StoreItem],
-    ) -> StoreUpdateFrame {
-        let now = self.clock.now();
-        let apply = |entry: &VersionedEntry| self.view.lock().apply(entry, now);
-        let changed = self.apply_items(source, items, apply, now);
-        let mut gap = self.update_gap.lock();
-        let previous = gap.revision();
-        let entries = items.iter().filter(|item| item.instance.is_some());
-        gap.mark_complete(entries.map(|item| item.revision).max().unwrap_or(0));
-        drop(gap);
-        self.store_update(changed, false, previous)
-    }
-
-    /// Applies the complete list of entries that this daemon read from the store as of a revision;
-    /// returns the update for the peers.
-    pub fn apply_entry_list(&self, items: &[StoreItem], revision: u64) -> StoreUpdateFrame {
-        let now = self.clock.now();
-        let apply = |entry: &VersionedEntry| self.view.lock().apply(entry, now);
-        let mut changed = self.apply_items(UpdateSource::List, items, apply, now);
-        let entries = self.decode_entries(items);
-        let removed = self.view.lock().reconcile(&entries, revision, now);
-        self.remove_items(&removed, now);
-        changed.extend(removed.into_iter().map(|id| StoreItem {
-            is_config: false,
-            instance: Some(id),
-            revision,
-            value: None,
-        }));
-        let mut gap = self.update_gap.lock();
-        let previous = gap.revision();
-        gap.mark_complete(revision);
-        drop(gap);
-        self.store_update(changed, false, previous)
-    }
-
-    /// Applies a store update received from the peer at an address.
-    pub fn apply_update_from_peer(&self, peer: IpAddr, update: &StoreUpdateFrame) {
-        let now = self.clock.now();
-        let age = update
-            .since_store_recovery_ms
-            .map(|ms| Duration::from_millis(ms.into()));
-        let recovered_at = age.map(|age| now.checked_sub(age).unwrap_or(now));
-        let apply =
-            |entry: &VersionedEntry| self.view.lock().apply_from_peer(entry, recovered_at, now);
-        self.apply_items(UpdateSource::Peer(peer), &update.items, apply, now);
-        if update.is_complete {
-            let entries = self.decode_entries(&update.items);
-            let mut view = self.view.lock();
-            let removed =
-                view.reconcile_from_peer(&entries, update.last_revision, recovered_at, now);
-            drop(view);
-            self.remove_items(&removed, now);
-            self.update_gap.lock().mark_complete(update.last_revision);
-            return;
-        }
-        let mut gap = self.update_gap.lock();
-        gap.record_range(update.previous_revision, update.last_revision);
-    }
-
-    /// Applies items and returns those that changed the state.
-    fn apply_items(
-        &self,
-        source: UpdateSource,
-        items: &[StoreItem],
-        apply: impl Fn(&VersionedEntry) -> bool,
-        now: Instant,
-    ) -> Vec<StoreItem> {
-        let changed: Vec<StoreItem> = items
-            .iter()
-            .filter(|item| self.apply_item(source, item, &apply))
-            .cloned()
-            .collect();
-        if !changed.is_empty() {
-            self.metrics.count_store_update(source);
-        }
-        if changed.iter().any(|item| item.instance.is_some()) {
-            self.update_members(now);
-        }
-        changed
-    }
-
-    fn decode_entries(&self, items: &[StoreItem]) -> Vec<VersionedEntry> {
-        items
-            .iter()
-            .filter_map(|item| self.decode_entry(item))
-            .collect()
-    }
-
-    fn remove_items(&self, removed: &[SmolStr], now: Instant) {
-        if removed.is_empty() {
-            return;
-        }
-        let mut items = self.items.lock();
-        items.entries.retain(|id, _| !removed.contains(id));
-        drop(items);
-        self.update_members(now);
-    }
-
-    /// Returns whether the last call of this daemon to the store failed.
-    pub fn is_store_unreachable(&self) -> bool {
-        self.view.lock().is_store_unreachable()
-    }
-
-    /// Returns whether entries were read from the store or received from a peer.
-    pub fn has_entries(&self) -> bool {
-        self.update_gap.lock().revision() > 0
-    }
-
-    /// Counts a failed call to the store and records that the store is unreachable.
-    pub fn record_store_failure(&self) {
-        self.metrics.count_store_failure();
-        self.view.lock().mark_store_unreachable();
-    }
-
-    /// Records a successful call to the store for a prefix.
-    pub fn record_store_response(&self, prefix: StorePrefix) {
-        let now = self.clock.now();
-        self.store_contact.lock().record_response(prefix, now);
-        self.view.lock().mark_store_reachable(now);
-    }
-
-    /// Records that this daemon no longer reads a prefix.
-    pub fn stop_reading(&self, prefix: StorePrefix) {
-        self.store_contact.lock().clear(prefix);
-    }
-
-    /// Returns the time since the store last responded to this daemon, if it reads the store.
-    pub fn store_response_age(&self) -> Option<Duration> {
-        self.store_contact.lock().response_age(self.clock.now())
-    }
-
-    /// Removes members whose removal was delayed and is now due.
-    pub fn apply_due_removals(&self) {
-        let now = self.clock.now();
-        if self.view.lock().drop_removed(now) {
-            self.update_members(now);
-        }
-    }
-
-    fn apply_item(
-        &self,
-        source: UpdateSource,
-        item: &StoreItem,
-        apply: impl Fn(&VersionedEntry) -> bool,
-    ) -> bool {
-        if item.is_config {
-            return self.apply_config(source, item);
-        }
-        let Some(entry) = self.decode_entry(item) else {
-            return false;
-        };
-        if !apply(&entry) {
-            return false;
-        }
-        let mut items = self.items.lock();
-        if entry.value.is_some() {
-            items.entries.insert(entry.id, item.clone());
-        } else {
-            items.entries.swap_remove(&entry.id);
-        }
-        true
-    }
-
-    fn apply_config(&self, source: UpdateSource, item: &StoreItem) -> bool {
-        let Some(value) = &item.value else {
-            return false;
-        };
-        let table = match self.format.decode_config(value) {
-            Ok(table) => table,
-            Err(error) => {
-                log::warn!("config: Ignored an invalid route configuration. {error}");
-                return false;
-            }
-        };
-        let mut routes = self.routes.lock();
-        let version = table.version();
-        if routes
-            .as_ref()
-            .is_some_and(|routes| routes.version() >= version)
-        {
-            return false;
-        }
-        let response_age = self.store_response_age();
-        log::info!(
-            source:% = source,
-            revision = item.revision,
-            response_age_ms = response_age.map(|age| age.as_millis() as u64);
-            "config: Version {} with {} routes is in force.",
-            version.0,
-            table.len()
-        );
-        self.traffic_split
-            .lock()
-            .retain(|name| table.by_name(name).is_some());
-        *routes = Some(Arc::new(table));
-        drop(routes);
-        self.items.lock().config = Some(item.clone());
-        true
-    }
-
-    fn decode_entry(&self, item: &StoreItem) -> Option<VersionedEntry> {
-        let id = item.instance.clone()?;
-        let value = item.value.as_ref().and_then(|value| {
-            let decoded = self.format.decode_entry(value);
-            decoded
-                .inspect_err(|error| log::warn!("members: Dropped the entry {id}. {error}"))
-                .ok()
-        });
-        Some(VersionedEntry {
-            id,
-            revision: item.revision,
-            value,
-        })
-    }
-
-    /// Updates the instances of the selector and the slots of the executor after a change of
-    /// members.
-    fn update_members(&self, now: Instant) {
-        let view = self.view.lock();
-        self.selector.lock().update(&view, now);
-        let local_member = view
-            .members()
-            .filter(|(_, entry)| entry.address == self.settings.backend)
-            .max_by_key(|(_, entry)| entry.started_ms);
-        let is_published = local_member.is_some();
-        if self.is_published.swap(is_published, Ordering::Relaxed) != is_published {
-            let change = if is_published {
-                "is published"
-            } else {
-                "is gone"
-            };
-            log::info!("members: The entry of the local backend server {change}.");
-        }
-        match local_member {
-            Some((id, entry)) => self.executor.set_published_instance(id, entry.slots),
-            None => {
-                let mut members = view.members();
-                let same_service =
-                    members.find(|(_, entry)| entry.service == self.settings.service);
-                if let Some((_, entry)) = same_service {
-                    self.executor.set_default_slots(entry.slots);
-                }
-            }
-        }
-    }
 }
 
 /// Writes one log line for each service that limits the plan.
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -3,8 +3,10 @@
 use crate::{
     common::*,
     decision::mesh::link_liveness::{LinkLiveness, LivenessAction},
-    mesh::connection_end::ConnectionEnd,
-    mesh::peer_frame::{CallFrame, HelloFrame, LoadFrame, PeerFrame, ReplyFrame, StoreUpdateFrame},
+    mesh::{
+        connection_end::ConnectionEnd,
+        peer_frame::{CallFrame, HelloFrame, LoadFrame, PeerFrame, ReplyFrame, StoreUpdateFrame},
+    },
 };
 use bytes::BytesMut;
 use std::io;
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -17,7 +17,7 @@
 
 /// Links to all peers.
 pub struct PeerLinks {
-    /// Connections in the other direction.
+    /// Connections that peers opened to this daemon.
     pub senders: SenderConnections,
     state: Arc<FleetState>,
     links: Mutex<IndexMap<SocketAddr, LinkEntry>>,
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -107,7 +107,7 @@
                     // Only a complete list shows which entries expired during an outage.
                     revision = None;
                     let is_gone = matches!(error, StoreError::Status(STATUS_GONE));
-                    // The store may be well and only the connection silent: a new one shows it.
+                    // Whether the store or only the connection is silent shows on a new one.
                     let is_overdue = is_watch && matches!(error, StoreError::Timeout);
                     if is_gone || is_overdue {
                         log::info!("store: Reading all of {:?} again. {error}", self.prefix);
