--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod http1_framing;
 mod instance_selector;
 mod line_queue;
+mod link_liveness;
 mod peer_link;
 mod reader_election;
 mod route_table;
