--- a/tests/soak/link_proxy.rs
+++ b/tests/soak/link_proxy.rs
@@ -10,6 +10,9 @@
     sync::watch,
 };
 
+/// Delay after a failed accept, for example because no file descriptor was free.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// What a proxy does with the bytes of its connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkMode {
@@ -44,9 +47,17 @@
         let silences = watch::Sender::new(0);
         let silence_signal = silences.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let silence = silence_signal.subscribe();
-                tokio::spawn(forward_connection(stream, target, modes.clone(), silence));
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        let silence = silence_signal.subscribe();
+                        tokio::spawn(forward_connection(stream, target, modes.clone(), silence));
+                    }
+                    Err(error) => {
+                        eprintln!("HARNESS: A proxy cannot accept a connection: {error}.");
+                        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    }
+                }
             }
         });
         Arc::new(Self { mode, silences })
