Read all keys of the store with one call, and get the first state from a seed

Each daemon read the configuration and four pages of entries at its start and watched both prefixes until enough others did.

Change: one list and one watch for all keys; only the seeds read at the start, the others request the first state of a seed and elect readers after they have received the status of their peers; a new reader sends its status at once.

--- a/src/decision/mesh/reader_election.rs
+++ b/src/decision/mesh/reader_election.rs
@@ -4,6 +4,9 @@
 //! and pass store updates to their peers. Each daemon decides on its own from the status of its
 //! peers: it starts to read if there are too few readers, and stops if enough daemons with smaller
 //! ids read. A data centre that is cut off from the others has readers of its own.
+//!
+//! When a whole fleet starts, only the seeds read at once. The other daemons request the state of a
+//! seed, and elect the readers of each data centre when they have received the status of their peers.
 
 use crate::common::*;
 
@@ -19,6 +22,14 @@
 /// that not all of them start at once.
 const START_DELAY_STEP: Duration = Duration::from_millis(100);
 
+/// Time after its start for which a daemon with seeds waits for the store state of another daemon
+/// before it reads the store itself.
+const STATE_WAIT: Duration = Duration::from_millis(600);
+
+/// Part of the peer timeout for which a daemon that has received its first store state waits for the
+/// status of its peers: one and a half of the intervals in which they send it.
+const STATUS_WAIT_SHARE: f64 = 0.5;
+
 /// Longest delay before a daemon replaces a missing reader.
 const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +60,14 @@
     peers: IndexMap<u64, PeerState>,
     reading_since: Option<Instant>,
     shortage_since: Option<Instant>,
+    start_wait: Option<StartWait>,
+}
+
+/// Wait of a daemon that has just started.
+#[derive(Debug)]
+struct StartWait {
+    started: Instant,
+    has_state_since: Option<Instant>,
 }
 
 impl ReaderElection {
@@ -61,6 +80,20 @@
             peers: IndexMap::new(),
             reading_since: Some(now),
             shortage_since: None,
+            start_wait: None,
+        }
+    }
+
+    /// Creates the election state of a daemon that has just started and requests the store state of
+    /// its seeds. It reads only if no state arrives in time.
+    pub fn with_seeds(daemon_id: u64, data_centre: SmolStr, now: Instant) -> Self {
+        Self {
+            reading_since: None,
+            start_wait: Some(StartWait {
+                started: now,
+                has_state_since: None,
+            }),
+            ..Self::new(daemon_id, data_centre, now)
         }
     }
 
@@ -75,11 +108,14 @@
         }
     }
 
-    /// Decides whether to read the store from now on. Peers last seen more than `peer_timeout` ago
-    /// do not count.
-    pub fn decide(&mut self, peer_timeout: Duration, now: Instant) -> bool {
+    /// Decides whether to read the store from now on. `has_state` is true if this daemon has entries,
+    /// read from the store or received. Peers last seen more than `peer_timeout` ago do not count.
+    pub fn decide(&mut self, has_state: bool, peer_timeout: Duration, now: Instant) -> bool {
         self.peers
             .retain(|_, peer| peer.last_seen + peer_timeout > now);
+        if self.is_waiting(has_state, peer_timeout, now) {
+            return false;
+        }
         let readers = self.other_readers();
         if let Some(since) = self.reading_since {
             let is_smaller =
@@ -106,6 +142,28 @@
         self.reading_since.is_some()
     }
 
+    /// Returns whether this daemon, which has just started, waits for the state of a seed or for the
+    /// status of its peers. Begins to read if no state arrived in time.
+    fn is_waiting(&mut self, has_state: bool, peer_timeout: Duration, now: Instant) -> bool {
+        let Some(wait) = &mut self.start_wait else {
+            return false;
+        };
+        let until = if has_state {
+            let since = *wait.has_state_since.get_or_insert(now);
+            since + peer_timeout.mul_f64(STATUS_WAIT_SHARE)
+        } else {
+            wait.started + STATE_WAIT
+        };
+        if now < until {
+            return true;
+        }
+        self.start_wait = None;
+        if !has_state {
+            self.reading_since = Some(now);
+        }
+        false
+    }
+
     /// Returns whether this daemon reads the store.
     pub fn is_reading(&self) -> bool {
         self.reading_since.is_some()
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -32,6 +32,7 @@
     net::IpAddr,
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
+use tokio::sync::Notify;
 
 /// Unserved calls per second from which a service is logged although the plan does not limit it.
 const MIN_LOGGED_RATE: f64 = 1.0;
@@ -62,6 +63,8 @@
     pub entry_admission: Mutex<EntryAdmission>,
     /// Election of the daemons that read the store.
     pub reader_election: Mutex<ReaderElection>,
+    /// Notified when the load of this daemon is to be sent before the interval has passed.
+    pub load_due: Notify,
     store_contact: Mutex<StoreContact>,
     update_gap: Mutex<UpdateGap>,
     planner: Mutex<AdmissionPlanner>,
@@ -113,10 +116,15 @@
         );
         let selector = InstanceSelector::new(settings.data_centre.clone(), rand::random());
         let daemon_id = rand::random();
-        let reader_election =
-            ReaderElection::new(daemon_id, settings.data_centre.clone(), clock.now());
+        let data_centre = settings.data_centre.clone();
+        let reader_election = if settings.other_seeds().is_empty() {
+            ReaderElection::new(daemon_id, data_centre, clock.now())
+        } else {
+            ReaderElection::with_seeds(daemon_id, data_centre, clock.now())
+        };
         Self {
             reader_election: Mutex::new(reader_election),
+            load_due: Notify::new(),
             store_contact: Mutex::default(),
             update_gap: Mutex::default(),
             started: clock.now(),
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -4,11 +4,7 @@
 use crate::{
     common::*,
     decision::mesh::fleet_view::VersionedEntry,
-    mesh::{
-        peer_frame::StoreUpdateFrame,
-        store_contact::UpdateSource,
-        store_interface::{StoreItem, StorePrefix},
-    },
+    mesh::{peer_frame::StoreUpdateFrame, store_contact::UpdateSource, store_interface::StoreItem},
 };
 use std::{net::IpAddr, sync::atomic::Ordering};
 
@@ -52,15 +48,14 @@
         let changed = self.apply_items(source, items, apply, now);
         let mut gap = self.update_gap.lock();
         let previous = gap.revision();
-        let entries = items.iter().filter(|item| item.instance.is_some());
-        gap.mark_complete(entries.map(|item| item.revision).max().unwrap_or(0));
+        gap.mark_complete(items.iter().map(|item| item.revision).max().unwrap_or(0));
         drop(gap);
         self.store_update(changed, false, previous)
     }
 
-    /// Applies the complete list of entries that this daemon read from the store as of a revision;
+    /// Applies the complete list of items that this daemon read from the store as of a revision;
     /// returns the update for the peers.
-    pub fn apply_entry_list(&self, items: &[StoreItem], revision: u64) -> StoreUpdateFrame {
+    pub fn apply_store_list(&self, items: &[StoreItem], revision: u64) -> StoreUpdateFrame {
         let now = self.clock.now();
         let apply = |entry: &VersionedEntry| self.view.lock().apply(entry, now);
         let mut changed = self.apply_items(UpdateSource::List, items, apply, now);
@@ -159,16 +154,20 @@
         self.view.lock().mark_store_unreachable();
     }
 
-    /// Records a successful call to the store for a prefix.
-    pub fn record_store_response(&self, prefix: StorePrefix) {
+    /// Records a successful call to the store. The first one makes this daemon a reader, which its
+    /// peers learn at once, so that no others start to read.
+    pub fn record_store_response(&self) {
         let now = self.clock.now();
-        self.store_contact.lock().record_response(prefix, now);
+        let is_first = self.store_contact.lock().record_response(now);
         self.view.lock().mark_store_reachable(now);
+        if is_first {
+            self.load_due.notify_one();
+        }
     }
 
-    /// Records that this daemon no longer reads a prefix.
-    pub fn stop_reading(&self, prefix: StorePrefix) {
-        self.store_contact.lock().clear(prefix);
+    /// Records that this daemon no longer reads the store.
+    pub fn stop_reading(&self) {
+        self.store_contact.lock().clear();
     }
 
     /// Returns the time since the store last responded to this daemon, if it reads the store.
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -17,7 +17,8 @@
         peer_frame::PeerFrame,
         peer_links::PeerLinks,
         peer_listener::PeerListener,
-        store_interface::{StoreFormat, StorePrefix},
+        start_sync::request_state,
+        store_interface::StoreFormat,
         store_reader::StoreReader,
     },
 };
@@ -105,11 +106,10 @@
     let peer_listener = PeerListener::new(Arc::clone(&state), Arc::clone(&links));
     let proxy = Arc::new(EntryProxy::new(Arc::clone(&state), Arc::clone(&links)));
     let mut tasks = JoinSet::new();
-    let (is_reader_sender, is_reader) = watch::channel(true);
-    for prefix in [StorePrefix::Config, StorePrefix::Entries] {
-        let (state, links) = (Arc::clone(&state), Arc::clone(&links));
-        tasks.spawn(StoreReader::new(state, links, prefix, is_reader.clone()).run());
-    }
+    let is_first_reader = state.reader_election.lock().is_reading();
+    let (is_reader_sender, is_reader) = watch::channel(is_first_reader);
+    let reader = StoreReader::new(Arc::clone(&state), Arc::clone(&links), is_reader);
+    tasks.spawn(reader.run());
     tasks.spawn(elect_readers(Arc::clone(&state), is_reader_sender));
     tasks.spawn(Arc::clone(&peer_listener).serve(peer));
     tasks.spawn(caller_connection::serve(outbound, proxy));
@@ -143,6 +143,7 @@
             link.send(PeerFrame::Ping);
         }
     }
+    tasks.spawn(request_state(Arc::clone(&state), Arc::clone(&links)));
     let _ = stop.wait_for(|is_stopping| *is_stopping).await;
     let latest = state.clock.now() + state.settings.grace_period().saturating_sub(EXIT_MARGIN);
     state.start_leaving(latest);
@@ -173,10 +174,11 @@
     loop {
         tokio::time::sleep(READER_ELECTION_INTERVAL).await;
         let peer_timeout = load_interval(&state) * MAX_MISSED_LOAD_MESSAGES;
-        let is_reader = state
-            .reader_election
-            .lock()
-            .decide(peer_timeout, state.clock.now());
+        let is_reader = state.reader_election.lock().decide(
+            state.has_entries(),
+            peer_timeout,
+            state.clock.now(),
+        );
         is_reader_sender
             .send_if_modified(|current| std::mem::replace(current, is_reader) != is_reader);
     }
@@ -197,7 +199,9 @@
         }
         let interval = load_interval(&state);
         state.selector.lock().set_load_interval(interval);
-        tokio::time::sleep(interval.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+        let delay = interval.mul_f64(0.9 + 0.2 * rand::random::<f64>());
+        // The message is sent earlier if it is due, for example because this daemon became a reader.
+        let _ = tokio::time::timeout(delay, state.load_due.notified()).await;
     }
 }
 
--- a/src/mesh/mesh_settings.rs
+++ b/src/mesh/mesh_settings.rs
@@ -75,6 +75,19 @@
         })
     }
 
+    /// Returns the peer addresses of the seeds, unless this daemon is one: the seeds read the store at
+    /// their start.
+    pub fn other_seeds(&self) -> Vec<SocketAddr> {
+        let local_ip = self.peer.ip();
+        if self.seeds.iter().any(|seed| seed.ip() == local_ip) {
+            return Vec::new();
+        }
+        let seeds = self.seeds.iter();
+        seeds
+            .map(|seed| SocketAddr::new(seed.ip(), self.peer.port()))
+            .collect()
+    }
+
     /// Returns the time from the stop signal until the process is killed.
     pub fn grace_period(&self) -> Duration {
         Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -9,18 +9,25 @@
         sender_connections::SenderConnections,
     },
 };
+use indexmap::IndexSet;
 use std::{net::IpAddr, sync::Weak};
 
 /// Average number of daemons that send missing store values to the same peer. One is enough; the
 /// others cover lost messages.
 const TARGET_STATE_SENDERS: f64 = 6.0;
 
+/// Most peers that wait for the first store state of this daemon. The full state of a large fleet has
+/// hundreds of kilobytes; further peers read the store.
+const MAX_AWAITING_PEERS: usize = 256;
+
 /// Links to all peers.
 pub struct PeerLinks {
     /// Connections that peers opened to this daemon.
     pub senders: SenderConnections,
     state: Arc<FleetState>,
     links: Mutex<IndexMap<SocketAddr, LinkEntry>>,
+    /// Ids of the peers that requested the store state before this daemon had it.
+    awaiting_state: Mutex<IndexSet<u64>>,
     weak_self: Weak<Self>,
 }
 
@@ -36,6 +43,7 @@
             senders: SenderConnections::default(),
             state,
             links: Mutex::default(),
+            awaiting_state: Mutex::default(),
             weak_self: weak_self.clone(),
         })
     }
@@ -73,6 +81,34 @@
         self.senders.send_where(|ip| !is_member(ip), &frame);
     }
 
+    /// Returns the full store state for a peer that requested it. Without one, the peer gets it as
+    /// soon as this daemon has read it, unless too many peers wait.
+    pub fn state_for(&self, sender: u64) -> Option<PeerFrame> {
+        let mut awaiting = self.awaiting_state.lock();
+        if self.state.has_entries() {
+            return Some(PeerFrame::StoreUpdate(Arc::new(
+                self.state.full_store_state(),
+            )));
+        }
+        if awaiting.len() < MAX_AWAITING_PEERS {
+            awaiting.insert(sender);
+        }
+        None
+    }
+
+    /// Sends the full store state to the peers that requested it before this daemon had it.
+    pub fn send_awaited_state(&self) {
+        let awaiting = std::mem::take(&mut *self.awaiting_state.lock());
+        if awaiting.is_empty() {
+            return;
+        }
+        log::info!(peers = awaiting.len() as u64; "store: Sending the first state to peers.");
+        let frame = PeerFrame::StoreUpdate(Arc::new(self.state.full_store_state()));
+        for sender in awaiting {
+            self.senders.send(sender, frame.clone());
+        }
+    }
+
     /// Applies the load of the daemon at an address, and requests its store state if this daemon
     /// missed updates.
     pub fn receive_load(&self, ip: IpAddr, load: &LoadFrame) {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -268,7 +268,9 @@
                 }
             }
             PeerFrame::FetchStoreState => {
-                PeerFrame::StoreUpdate(Arc::new(listener.state.full_store_state())).encode(output);
+                if let Some(frame) = listener.links.state_for(sender) {
+                    frame.encode(output);
+                }
             }
             PeerFrame::Load(load) => self.receive_load(&load, output),
             PeerFrame::Leaving => self.set_leaving(true),
--- a/src/mesh/store_client.rs
+++ b/src/mesh/store_client.rs
@@ -7,7 +7,7 @@
         client_connection::{ClientConnection, ExchangeError},
         message_head::ResponseHead,
     },
-    mesh::store_interface::{StoreChanges, StoreFormat, StoreFormatError, StorePage, StorePrefix},
+    mesh::store_interface::{StoreChanges, StoreFormat, StoreFormatError, StorePage},
 };
 use bytes::Bytes;
 use std::io;
@@ -56,13 +56,9 @@
         }
     }
 
-    /// Reads one page of the items under a prefix.
-    pub async fn read_page(
-        &mut self,
-        prefix: StorePrefix,
-        after: Option<&str>,
-    ) -> Result<StorePage, StoreError> {
-        let target = self.format.range_target(prefix, after);
+    /// Reads one page of all items.
+    pub async fn read_page(&mut self, after: Option<&str>) -> Result<StorePage, StoreError> {
+        let target = self.format.range_target(after);
         let body = self.get(&target, MAX_RESPONSE_LIMIT).await?;
         Ok(self.format.decode_page(&body)?)
     }
@@ -70,12 +66,11 @@
     /// Waits up to `wait` for changes after a revision. The response may take `limit` longer.
     pub async fn watch(
         &mut self,
-        prefix: StorePrefix,
         after: u64,
         wait: Duration,
         limit: Duration,
     ) -> Result<StoreChanges, StoreError> {
-        let target = self.format.watch_target(prefix, after, wait);
+        let target = self.format.watch_target(after, wait);
         let body = self.get(&target, wait + limit).await?;
         Ok(self.format.decode_watch(&body)?)
     }
--- a/src/mesh/store_contact.rs
+++ b/src/mesh/store_contact.rs
@@ -3,7 +3,6 @@
 use crate::{
     common::*,
     decision::mesh::response_limit::{MAX_RESPONSE_LIMIT, WATCH_TIMEOUT},
-    mesh::store_interface::StorePrefix,
 };
 use std::net::IpAddr;
 
@@ -42,29 +41,28 @@
     }
 }
 
-/// Times at which the store last responded to this daemon.
+/// Time at which the store last responded to this daemon.
 #[derive(Debug, Default)]
 pub struct StoreContact {
-    config_response: Option<Instant>,
-    entries_response: Option<Instant>,
+    last_response: Option<Instant>,
 }
 
 impl StoreContact {
-    /// Records a response to a call for a prefix.
-    pub fn record_response(&mut self, prefix: StorePrefix, now: Instant) {
-        *self.last_response(prefix) = Some(now);
+    /// Records a response; returns whether it is the first one since this daemon began to read.
+    pub fn record_response(&mut self, now: Instant) -> bool {
+        self.last_response.replace(now).is_none()
     }
 
-    /// Forgets the responses for a prefix, since this daemon no longer reads it.
-    pub fn clear(&mut self, prefix: StorePrefix) {
-        *self.last_response(prefix) = None;
+    /// Forgets the responses, since this daemon no longer reads the store.
+    pub fn clear(&mut self) {
+        self.last_response = None;
     }
 
-    /// Returns the time since the store last responded, for the prefix for which it is longer, or
-    /// `None` if this daemon does not read the store or has not yet read all of it.
+    /// Returns the time since the store last responded, or `None` if this daemon does not read the
+    /// store or has not yet read all of it.
     pub fn response_age(&self, now: Instant) -> Option<Duration> {
-        let oldest = self.config_response?.min(self.entries_response?);
-        Some(now.saturating_duration_since(oldest))
+        let last = self.last_response?;
+        Some(now.saturating_duration_since(last))
     }
 
     /// Returns whether this daemon has read the whole store and got its last responses in time.
@@ -72,11 +70,4 @@
         self.response_age(now)
             .is_some_and(|age| age <= MAX_RESPONSE_AGE)
     }
-
-    fn last_response(&mut self, prefix: StorePrefix) -> &mut Option<Instant> {
-        match prefix {
-            StorePrefix::Config => &mut self.config_response,
-            StorePrefix::Entries => &mut self.entries_response,
-        }
-    }
 }
--- a/src/mesh/store_interface.rs
+++ b/src/mesh/store_interface.rs
@@ -6,15 +6,6 @@
 };
 use bytes::Bytes;
 
-/// Group of keys with a common prefix in the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StorePrefix {
-    /// The route configuration.
-    Config,
-    /// Entries of the backend servers.
-    Entries,
-}
-
 /// Value under a key of the store.
 #[derive(Clone, Debug, Deserialize, Serialize, Eq, PartialEq)]
 pub struct StoreItem {
@@ -28,7 +19,7 @@
     pub value: Option<Bytes>,
 }
 
-/// Page of the items under a prefix.
+/// Page of all items.
 #[derive(Clone, Debug)]
 pub struct StorePage {
     /// Items of the page.
@@ -41,7 +32,7 @@
     pub revision: u64,
 }
 
-/// Changes under a prefix.
+/// Changes of any items.
 #[derive(Clone, Debug)]
 pub struct StoreChanges {
     /// Changed items.
@@ -57,10 +48,10 @@
 
 /// Request targets of the store and decoders for its responses and values.
 pub trait StoreFormat: Send + Sync {
-    /// Returns the request target that reads one page of a prefix.
-    fn range_target(&self, prefix: StorePrefix, after: Option<&str>) -> String;
+    /// Returns the request target that reads one page of all items.
+    fn range_target(&self, after: Option<&str>) -> String;
     /// Returns the request target that waits for changes after a revision.
-    fn watch_target(&self, prefix: StorePrefix, after: u64, wait: Duration) -> String;
+    fn watch_target(&self, after: u64, wait: Duration) -> String;
     /// Decodes the response to the read of a page.
     fn decode_page(&self, bytes: &[u8]) -> Result<StorePage, StoreFormatError>;
     /// Decodes the response to a watch.
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -8,7 +8,7 @@
         peer_links::PeerLinks,
         store_client::{StoreClient, StoreError},
         store_contact::UpdateSource,
-        store_interface::{StoreItem, StorePrefix},
+        store_interface::StoreItem,
     },
 };
 use tokio::sync::watch;
@@ -34,11 +34,10 @@
 /// Status code of the store if it no longer has the changes after the requested revision.
 const STATUS_GONE: u16 = 410;
 
-/// Reads and watches one group of keys in the store.
+/// Reads and watches the store.
 pub struct StoreReader {
     state: Arc<FleetState>,
     links: Arc<PeerLinks>,
-    prefix: StorePrefix,
     client: StoreClient,
     response_limit: ResponseLimit,
     is_reader: watch::Receiver<bool>,
@@ -49,14 +48,12 @@
     pub fn new(
         state: Arc<FleetState>,
         links: Arc<PeerLinks>,
-        prefix: StorePrefix,
         is_reader: watch::Receiver<bool>,
     ) -> Self {
         let client = StoreClient::new(state.settings.store, Arc::clone(&state.format));
         Self {
             state,
             links,
-            prefix,
             client,
             response_limit: ResponseLimit::default(),
             is_reader,
@@ -69,18 +66,16 @@
         while is_reader.wait_for(|is_reader| *is_reader).await.is_ok() {
             log::info!(
                 readers = self.state.reader_election.lock().other_readers() as u64;
-                "store: Started reading {:?}.",
-                self.prefix
+                "store: Started reading."
             );
             tokio::select! {
                 () = self.read_and_watch() => {}
                 _ = is_reader.wait_for(|is_reader| !*is_reader) => {}
             }
-            self.state.stop_reading(self.prefix);
+            self.state.stop_reading();
             log::info!(
                 readers = self.state.reader_election.lock().other_readers() as u64;
-                "store: Stopped reading {:?}; other daemons read it.",
-                self.prefix
+                "store: Stopped reading; other daemons read it."
             );
         }
     }
@@ -96,11 +91,11 @@
             match result {
                 Ok(next) => {
                     if failures > 0 {
-                        log::info!("store: Reading {:?} succeeded again.", self.prefix);
+                        log::info!("store: Reading succeeded again.");
                     }
                     failures = 0;
                     revision = Some(next);
-                    self.state.record_store_response(self.prefix);
+                    self.state.record_store_response();
                 }
                 Err(error) => {
                     let is_watch = revision.is_some();
@@ -110,11 +105,11 @@
                     // Whether the store or only the connection is silent shows on a new one.
                     let is_overdue = is_watch && matches!(error, StoreError::Timeout);
                     if is_gone || is_overdue {
-                        log::info!("store: Reading all of {:?} again. {error}", self.prefix);
+                        log::info!("store: Reading all items again. {error}");
                         continue;
                     }
                     if failures == 0 {
-                        log::info!("store: Cannot read {:?}. {error}", self.prefix);
+                        log::info!("store: Cannot read. {error}");
                     }
                     self.state.record_store_failure();
                     tokio::time::sleep(self.backoff(failures)).await;
@@ -130,7 +125,7 @@
         let mut after: Option<SmolStr> = None;
         loop {
             let sent_at = self.state.clock.now();
-            let page = self.client.read_page(self.prefix, after.as_deref()).await?;
+            let page = self.client.read_page(after.as_deref()).await?;
             self.record_response_time(sent_at);
             // The following watch returns the changes that were made after the first page was read.
             let revision = *revision.get_or_insert(page.revision);
@@ -139,14 +134,13 @@
                 after = page.last_key;
                 continue;
             }
-            // The first values are not sent to peers: daemons that start together read the same
-            // ones, and each pair of daemons would exchange a message with all entries.
+            // The first values are sent only to the peers that requested them: the others have
+            // values already, or request them from another daemon.
             let is_first = !self.state.has_entries();
-            let update = match self.prefix {
-                StorePrefix::Config => self.state.apply_store_changes(UpdateSource::List, &items),
-                StorePrefix::Entries => self.state.apply_entry_list(&items, revision),
-            };
-            if !is_first {
+            let update = self.state.apply_store_list(&items, revision);
+            if is_first {
+                self.links.send_awaited_state();
+            } else {
                 self.links.broadcast_update(update);
             }
             return Ok(revision);
@@ -156,10 +150,7 @@
     async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
         let sent_at = self.state.clock.now();
         let limit = self.response_limit.limit();
-        let changes = self
-            .client
-            .watch(self.prefix, revision, WATCH_TIMEOUT, limit)
-            .await?;
+        let changes = self.client.watch(revision, WATCH_TIMEOUT, limit).await?;
         if changes.items.is_empty() {
             self.record_response_time(sent_at + WATCH_TIMEOUT);
             return Ok(changes.revision);
--- a/src/platform/store_format.rs
+++ b/src/platform/store_format.rs
@@ -3,9 +3,7 @@
 use crate::{
     common::*,
     decision::mesh::{fleet_view::BackendEntry, route_table::RouteTable},
-    mesh::store_interface::{
-        StoreChanges, StoreFormat, StoreFormatError, StoreItem, StorePage, StorePrefix,
-    },
+    mesh::store_interface::{StoreChanges, StoreFormat, StoreFormatError, StoreItem, StorePage},
     platform::{config_document, entry_document},
 };
 use base64::{Engine, engine::general_purpose::STANDARD};
@@ -14,8 +12,8 @@
 
 /// Key of the route configuration.
 const CONFIG_KEY: &str = "op/config";
-/// Prefix of the keys that the operator writes.
-const CONFIG_PREFIX: &str = "op/";
+/// Prefix of all keys. Each call is billed, so one call reads the configuration and the entries.
+const ALL_KEYS: &str = "";
 /// Prefix of the entries of backend servers.
 const ENTRY_PREFIX: &str = "servers/";
 
@@ -49,29 +47,20 @@
     as_of: u64,
 }
 
-fn prefix_text(prefix: StorePrefix) -> &'static str {
-    match prefix {
-        StorePrefix::Config => CONFIG_PREFIX,
-        StorePrefix::Entries => ENTRY_PREFIX,
-    }
-}
-
 impl StoreFormat for PlatformStore {
-    fn range_target(&self, prefix: StorePrefix, after: Option<&str>) -> String {
-        let prefix = utf8_percent_encode(prefix_text(prefix), NON_ALPHANUMERIC);
+    fn range_target(&self, after: Option<&str>) -> String {
         match after {
-            None => format!("/kv-range?prefix={prefix}"),
+            None => format!("/kv-range?prefix={ALL_KEYS}"),
             Some(key) => {
                 let key = utf8_percent_encode(key, NON_ALPHANUMERIC);
-                format!("/kv-range?prefix={prefix}&after={key}")
+                format!("/kv-range?prefix={ALL_KEYS}&after={key}")
             }
         }
     }
 
-    fn watch_target(&self, prefix: StorePrefix, after: u64, wait: Duration) -> String {
-        let prefix = utf8_percent_encode(prefix_text(prefix), NON_ALPHANUMERIC);
+    fn watch_target(&self, after: u64, wait: Duration) -> String {
         let wait = wait.as_millis();
-        format!("/kv-watch?prefix={prefix}&after={after}&wait-ms={wait}")
+        format!("/kv-watch?prefix={ALL_KEYS}&after={after}&wait-ms={wait}")
     }
 
     fn decode_page(&self, bytes: &[u8]) -> Result<StorePage, StoreFormatError> {
--- a/tests/mesh/decoders.rs
+++ b/tests/mesh/decoders.rs
@@ -4,11 +4,7 @@
 use bytes::BytesMut;
 use skylarkstream::{
     decision::mesh::{fleet_view::ServingState, route_table::RunSemantics},
-    mesh::{
-        mesh_settings::MeshSettings,
-        peer_frame::PeerFrame,
-        store_interface::{StoreFormat, StorePrefix},
-    },
+    mesh::{mesh_settings::MeshSettings, peer_frame::PeerFrame, store_interface::StoreFormat},
     platform::store_format::PlatformStore,
 };
 use std::time::Duration;
@@ -94,8 +90,8 @@
     let watch = br#"{"events":[{"key":"servers/i-1","revision":7,"tombstone":true}],"as-of":9}"#;
     let watch = PlatformStore.decode_watch(watch).expect("changes");
     assert_eq!(watch.items[0].value, None);
-    let target = PlatformStore.range_target(StorePrefix::Entries, Some("servers/a b"));
-    assert_eq!(target, "/kv-range?prefix=servers%2F&after=servers%2Fa%20b");
+    let target = PlatformStore.range_target(Some("servers/a b"));
+    assert_eq!(target, "/kv-range?prefix=&after=servers%2Fa%20b");
 }
 
 /// Guards against decoders that panic on arbitrary bytes.
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -21,4 +21,5 @@
 mod run_table;
 mod shutdown_wait;
 mod stand_ins;
+mod start_sync;
 mod store_reader;
--- a/tests/mesh/reader_election.rs
+++ b/tests/mesh/reader_election.rs
@@ -27,6 +27,10 @@
     is_up: bool,
     /// Whether the store responds to this daemon.
     has_store: bool,
+    /// Whether the daemon has read the store or received its state.
+    has_state: bool,
+    /// Whether the daemon was a reader at any step.
+    has_read: bool,
 }
 
 impl Fleet {
@@ -41,11 +45,33 @@
                 election: ReaderElection::new(number + 1, data_centre.into(), clock.now()),
                 is_up: true,
                 has_store: true,
+                has_state: true,
+                has_read: false,
             });
         }
         Self { clock, daemons }
     }
 
+    /// Starts a fleet in which the daemons request the state of the first ones, the seeds.
+    fn start_with_seeds(
+        data_centres: &[&'static str],
+        daemons_each: u64,
+        seeds: usize,
+        is_seed_up: bool,
+    ) -> Self {
+        let mut fleet = Self::start(data_centres, daemons_each);
+        for (number, daemon) in fleet.daemons.iter_mut().enumerate() {
+            daemon.is_up = number >= seeds || is_seed_up;
+            daemon.has_state = is_seed_up;
+            if number >= seeds {
+                let data_centre = daemon.data_centre.into();
+                daemon.election =
+                    ReaderElection::with_seeds(daemon.id, data_centre, fleet.clock.now());
+            }
+        }
+        fleet
+    }
+
     fn run(&mut self, time: Duration) {
         for _ in 0..time.as_millis() / STEP.as_millis() {
             self.clock.advance(STEP);
@@ -66,7 +92,8 @@
                 for (id, status) in &sent {
                     daemon.election.record_status(*id, status, now);
                 }
-                daemon.election.decide(PEER_TIMEOUT, now);
+                daemon.election.decide(daemon.has_state, PEER_TIMEOUT, now);
+                daemon.has_read |= daemon.election.is_reading();
             }
         }
     }
@@ -97,6 +124,35 @@
     }
 }
 
+/// Guards against a fleet that starts at once and in which each daemon reads the store.
+#[test]
+fn few_daemons_read_at_the_start_of_a_fleet() {
+    let mut fleet = Fleet::start_with_seeds(&["a", "b", "c"], 10, 3, true);
+    fleet.run(Duration::from_secs(5));
+    for data_centre in ["a", "b", "c"] {
+        assert_eq!(
+            fleet.readers(data_centre).len(),
+            STORE_READERS_PER_DATA_CENTRE
+        );
+    }
+    let has_read = fleet.daemons.iter().filter(|daemon| daemon.has_read);
+    let count = has_read.count();
+    // The seeds, the elected readers, and one more in each data centre whose status crossed theirs.
+    assert!(
+        count <= 3 + 3 * (STORE_READERS_PER_DATA_CENTRE + 1),
+        "{count}"
+    );
+}
+
+/// Guards against daemons that wait for the state of seeds that are down.
+#[test]
+fn daemons_read_if_no_seed_responds() {
+    let mut fleet = Fleet::start_with_seeds(&["a"], 10, 3, false);
+    fleet.run(Duration::from_millis(600));
+    let readers = fleet.readers("a");
+    assert_eq!(readers.len(), 7, "{readers:?}");
+}
+
 /// Guards against a data centre without readers after its readers have stopped.
 #[test]
 fn stopped_readers_are_replaced() {
--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -210,11 +210,7 @@
     async fn serve(self: Arc<Self>, mut stream: TcpStream, number: usize) {
         use base64::{Engine, engine::general_purpose::STANDARD};
         while let Some(head) = read_message(&mut stream).await {
-            let prefix = if head.contains("op%2F") {
-                "op/"
-            } else {
-                "servers/"
-            };
+            let prefix = key_prefix(&head);
             let is_watch = head.starts_with("GET /kv-watch");
             if is_watch {
                 // A change that follows the read below is returned by the next watch.
@@ -230,7 +226,7 @@
                 .items
                 .lock()
                 .iter()
-                .filter(|(key, _)| key.starts_with(prefix))
+                .filter(|(key, _)| key.starts_with(&prefix))
                 .map(|(key, value)| {
                     let value = STANDARD.encode(value);
                     format!(r#"{{"key":"{key}","value":"{value}","revision":{revision}}}"#)
@@ -253,6 +249,13 @@
     }
 }
 
+/// Returns the prefix of the keys that a call to the store asks for.
+fn key_prefix(head: &str) -> String {
+    let (_, rest) = head.split_once("prefix=").unwrap_or_default();
+    let prefix = rest.split(['&', ' ']).next().unwrap_or_default();
+    prefix.replace("%2F", "/")
+}
+
 /// Returns a configuration of this version with one safe route to the service `s`.
 pub fn config(version: u64) -> String {
     format!(
--- /dev/null
+++ b/tests/mesh/start_sync.rs
@@ -0,0 +1,120 @@
+//! First store state of daemons that start together, without I/O.
+
+use crate::stand_ins::config;
+use skylarkstream::{
+    decision::clock::ManualClock,
+    mesh::{
+        fleet_state::FleetState,
+        mesh_settings::MeshSettings,
+        peer_frame::{HelloFrame, PeerFrame},
+        peer_links::PeerLinks,
+        store_interface::StoreItem,
+    },
+    platform::{context_names::context_headers, store_format::PlatformStore},
+};
+use std::{net::IpAddr, sync::Arc};
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+
+/// Revision of the store in these tests.
+const REVISION: u64 = 7;
+
+fn settings(number: u8, seeds: &str) -> MeshSettings {
+    let text = format!(
+        "instance = \"i\"\ndata_centre = \"a\"\nservice = \"s\"\nbackend = \"127.0.0.{number}:1\"\n\
+         outbound = \"127.0.0.{number}:2\"\npeer = \"127.0.0.{number}:3\"\n\
+         readiness = \"127.0.0.{number}:4\"\nstore = \"127.0.0.1:5\"\nseeds = [{seeds}]\n\
+         grace_s = 1.0\n"
+    );
+    MeshSettings::from_bytes(text.as_bytes()).expect("settings")
+}
+
+fn seed() -> (Arc<FleetState>, Arc<PeerLinks>) {
+    let state = Arc::new(FleetState::new(
+        settings(1, ""),
+        context_headers(),
+        Arc::new(PlatformStore),
+        Arc::new(ManualClock::new()),
+    ));
+    let links = PeerLinks::new(Arc::clone(&state));
+    (state, links)
+}
+
+/// Connects a peer that has just started; returns the messages to it.
+fn connect(links: &PeerLinks, daemon_id: u64) -> UnboundedReceiver<PeerFrame> {
+    let (outbox, inbox) = mpsc::unbounded_channel();
+    let hello = HelloFrame {
+        daemon_id,
+        ip: IpAddr::from([127, 0, 0, 9]),
+        is_leaving: false,
+        config_version: 0,
+        member_count: 0,
+        connection_number: 1,
+    };
+    assert!(links.senders.register(&hello, &outbox, &Arc::default()));
+    inbox
+}
+
+fn read_store(state: &FleetState) {
+    let item = StoreItem {
+        is_config: true,
+        instance: None,
+        revision: REVISION,
+        value: Some(config(1).into()),
+    };
+    state.apply_store_list(&[item], REVISION);
+}
+
+/// Guards against daemons of a fleet that starts at once and that read the store, because the seed
+/// they ask has not read it yet.
+#[test]
+fn request_at_a_starting_seed_is_answered_after_its_first_read() {
+    let (state, links) = seed();
+    let mut inbox = connect(&links, 11);
+    assert!(links.state_for(11).is_none());
+    read_store(&state);
+    links.send_awaited_state();
+    let Ok(PeerFrame::StoreUpdate(update)) = inbox.try_recv() else {
+        panic!("no store state");
+    };
+    assert!(update.is_complete);
+    assert_eq!(update.last_revision, REVISION);
+    assert_eq!(update.items.len(), 1);
+    links.send_awaited_state();
+    assert!(inbox.try_recv().is_err(), "sent twice");
+    assert!(links.state_for(11).is_some());
+}
+
+/// Guards against a first state that stays unknown to a peer that receives it from a seed.
+#[test]
+fn received_state_is_in_force() {
+    let (state, links) = seed();
+    read_store(&state);
+    let Some(PeerFrame::StoreUpdate(update)) = links.state_for(11) else {
+        panic!("no store state");
+    };
+    let (peer, _) = seed();
+    peer.apply_update_from_peer(IpAddr::from([127, 0, 0, 1]), &update);
+    assert!(peer.has_entries());
+    assert_eq!(peer.routes().expect("routes").version().0, 1);
+    assert_eq!(peer.store_status().entries_revision, REVISION);
+}
+
+/// Guards against a fleet in which the seeds wait for each other.
+#[test]
+fn seed_reads_the_store_at_its_start() {
+    let seeds = "\"127.0.0.1:9\", \"127.0.0.2:9\"";
+    assert!(settings(1, seeds).other_seeds().is_empty());
+    let others: Vec<String> = settings(3, seeds)
+        .other_seeds()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(others, ["127.0.0.1:3", "127.0.0.2:3"]);
+    let state = FleetState::new(
+        settings(1, seeds),
+        context_headers(),
+        Arc::new(PlatformStore),
+        Arc::new(ManualClock::new()),
+    );
+    assert!(state.reader_election.lock().is_reading());
+}
--- a/tests/mesh/store_reader.rs
+++ b/tests/mesh/store_reader.rs
@@ -5,7 +5,7 @@
     decision::clock::Clock,
     mesh::{
         fleet_state::FleetState, mesh_settings::MeshSettings, peer_links::PeerLinks,
-        store_interface::StorePrefix, store_reader::StoreReader,
+        store_reader::StoreReader,
     },
     platform::{context_names::context_headers, store_format::PlatformStore},
 };
@@ -59,10 +59,7 @@
         let links = PeerLinks::new(Arc::clone(&state));
         let (is_reader_sender, is_reader) = watch::channel(true);
         let mut readers = JoinSet::new();
-        for prefix in [StorePrefix::Config, StorePrefix::Entries] {
-            let (state, links) = (Arc::clone(&state), Arc::clone(&links));
-            readers.spawn(StoreReader::new(state, links, prefix, is_reader.clone()).run());
-        }
+        readers.spawn(StoreReader::new(Arc::clone(&state), links, is_reader).run());
         let scenario = Self {
             state,
             store,
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -143,11 +143,9 @@
 
     async fn respond(&self, head: &str) -> (u16, String) {
         let target = head.split(' ').nth(1).unwrap_or_default();
-        let prefix = if target.contains("op%2F") {
-            "op/"
-        } else {
-            "servers/"
-        };
+        let (_, query) = target.split_once("prefix=").unwrap_or_default();
+        let prefix = query.split('&').next().unwrap_or_default();
+        let prefix = &prefix.replace("%2F", "/");
         if target.starts_with("/kv-range") {
             return (200, self.range(prefix));
         }
