--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -10,6 +10,7 @@
 pub mod fleet_view;
 pub mod instance_selector;
 pub mod link_liveness;
+pub mod load_schedule;
 pub mod load_summary;
 pub mod reader_election;
 pub mod response_limit;
--- a/src/decision/mesh/reader_election.rs
+++ b/src/decision/mesh/reader_election.rs
@@ -6,7 +6,8 @@
 //! ids read. A data centre that is cut off from the others has readers of its own.
 //!
 //! When a whole fleet starts, only the seeds read at once. The other daemons request the state of a
-//! seed, and elect the readers of each data centre when they have received the status of their peers.
+//! seed, and elect the readers of each data centre when their peers know them and have sent their
+//! status.
 
 use crate::common::*;
 
@@ -26,8 +27,13 @@
 /// before it reads the store itself.
 const STATE_WAIT: Duration = Duration::from_millis(600);
 
-/// Part of the peer timeout for which a daemon that has received its first store state waits for the
-/// status of its peers: one and a half of the intervals in which they send it.
+/// Time after its start for which a daemon that has received its first store state waits until its
+/// backend server is published. Peers send their status to published daemons only, and a whole fleet
+/// needs up to 3 s to be published. Until then the seeds send it the changes.
+const PUBLICATION_WAIT: Duration = Duration::from_secs(4);
+
+/// Part of the peer timeout for which a published daemon that has started waits for the status of its
+/// peers: one and a half of the intervals in which they send it.
 const STATUS_WAIT_SHARE: f64 = 0.5;
 
 /// Longest delay before a daemon replaces a missing reader.
@@ -63,11 +69,22 @@
     start_wait: Option<StartWait>,
 }
 
+/// What a daemon that has just started knows of the fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartProgress {
+    /// It has no store state.
+    WithoutState,
+    /// It has a store state, in which its backend server is not published.
+    Unpublished,
+    /// Its backend server is published, so that peers send it their status.
+    Published,
+}
+
 /// Wait of a daemon that has just started.
 #[derive(Debug)]
 struct StartWait {
     started: Instant,
-    has_state_since: Option<Instant>,
+    published_at: Option<Instant>,
 }
 
 impl ReaderElection {
@@ -91,7 +108,7 @@
             reading_since: None,
             start_wait: Some(StartWait {
                 started: now,
-                has_state_since: None,
+                published_at: None,
             }),
             ..Self::new(daemon_id, data_centre, now)
         }
@@ -108,12 +125,17 @@
         }
     }
 
-    /// Decides whether to read the store from now on. `has_state` is true if this daemon has entries,
-    /// read from the store or received. Peers last seen more than `peer_timeout` ago do not count.
-    pub fn decide(&mut self, has_state: bool, peer_timeout: Duration, now: Instant) -> bool {
+    /// Decides whether to read the store from now on. `progress` matters for a daemon that has just
+    /// started. Peers last seen more than `peer_timeout` ago do not count.
+    pub fn decide(
+        &mut self,
+        progress: StartProgress,
+        peer_timeout: Duration,
+        now: Instant,
+    ) -> bool {
         self.peers
             .retain(|_, peer| peer.last_seen + peer_timeout > now);
-        if self.is_waiting(has_state, peer_timeout, now) {
+        if self.is_waiting(progress, peer_timeout, now) {
             return false;
         }
         let readers = self.other_readers();
@@ -142,23 +164,30 @@
         self.reading_since.is_some()
     }
 
-    /// Returns whether this daemon, which has just started, waits for the state of a seed or for the
-    /// status of its peers. Begins to read if no state arrived in time.
-    fn is_waiting(&mut self, has_state: bool, peer_timeout: Duration, now: Instant) -> bool {
+    /// Returns whether this daemon, which has just started, waits for the state of a seed, its
+    /// publication or the status of its peers. Begins to read if no state arrived in time.
+    fn is_waiting(
+        &mut self,
+        progress: StartProgress,
+        peer_timeout: Duration,
+        now: Instant,
+    ) -> bool {
         let Some(wait) = &mut self.start_wait else {
             return false;
         };
-        let until = if has_state {
-            let since = *wait.has_state_since.get_or_insert(now);
-            since + peer_timeout.mul_f64(STATUS_WAIT_SHARE)
-        } else {
-            wait.started + STATE_WAIT
+        let until = match progress {
+            StartProgress::WithoutState => wait.started + STATE_WAIT,
+            StartProgress::Unpublished => wait.started + PUBLICATION_WAIT,
+            StartProgress::Published => {
+                let published_at = *wait.published_at.get_or_insert(now);
+                published_at + peer_timeout.mul_f64(STATUS_WAIT_SHARE)
+            }
         };
         if now < until {
             return true;
         }
         self.start_wait = None;
-        if !has_state {
+        if progress == StartProgress::WithoutState {
             self.reading_since = Some(now);
         }
         false
--- a/src/emulator/emulated_daemon.rs
+++ b/src/emulator/emulated_daemon.rs
@@ -44,6 +44,8 @@
     pub selector: InstanceSelector,
     /// Admission of root requests.
     pub entry_admission: EntryAdmission,
+    /// Time of the next plan.
+    pub next_plan: Instant,
     /// Plan in force.
     pub plan: AdmissionPlan,
     planner: AdmissionPlanner,
@@ -70,6 +72,7 @@
             service_times: ServiceTimes::default(),
             selector,
             entry_admission: EntryAdmission::default(),
+            next_plan: now,
             plan: AdmissionPlan::default(),
             planner: AdmissionPlanner::default(),
         }
--- a/src/emulator/fleet_emulator.rs
+++ b/src/emulator/fleet_emulator.rs
@@ -8,6 +8,7 @@
         mesh::{
             fleet_view::FleetView,
             instance_selector::{InstanceResult, SelectionRequest},
+            load_schedule::regular_interval,
             route_table::RouteTable,
         },
     },
@@ -24,8 +25,8 @@
 use slotmap::SlotMap;
 use std::{cmp::Reverse, collections::BinaryHeap};
 
-/// Interval at which the daemons exchange their load, as in production for small fleets.
-const LOAD_INTERVAL: Duration = Duration::from_millis(400);
+/// Variation of the interval at which a daemon sends its load, as in production.
+const LOAD_INTERVAL_VARIATION: f64 = 0.1;
 
 /// Interval at which the gates apply decisions that are due to the passing of time.
 const GATE_INTERVAL: Duration = Duration::from_millis(20);
@@ -96,16 +97,12 @@
 
     /// Runs the fleet for a time and returns the results of the requests that ended.
     pub fn run(mut self, length: Duration) -> LoadTally {
-        let mut next_load = self.started;
         let mut next_gate = self.started;
         while self.clock.now() < self.started + length {
             let now = self.clock.now();
             self.apply_changes();
             self.draw_arrivals();
-            if now >= next_load {
-                next_load = now + LOAD_INTERVAL;
-                self.exchange_load();
-            }
+            self.exchange_load();
             if now >= next_gate {
                 next_gate = now + GATE_INTERVAL;
                 (0..self.daemons.len()).for_each(|daemon| self.poll_gate(daemon));
@@ -208,20 +205,26 @@
         }
     }
 
+    /// Updates the plans of the daemons at which this is due, and sends their load to the others.
     fn exchange_load(&mut self) {
         let now = self.clock.now();
-        let summaries: Vec<_> = self
-            .daemons
-            .iter()
-            .enumerate()
-            .filter(|(_, daemon)| !daemon.is_cut)
-            .map(|(id, daemon)| daemon.load_summary(id as u64, now))
-            .collect();
-        for daemon in self.daemons.iter_mut().filter(|daemon| !daemon.is_cut) {
-            for summary in &summaries {
-                daemon.record_summary(summary.clone(), now);
+        for id in 0..self.daemons.len() {
+            if self.daemons[id].is_cut || self.daemons[id].next_plan > now {
+                continue;
+            }
+            let variation = LOAD_INTERVAL_VARIATION * (2.0 * self.rng.random::<f64>() - 1.0);
+            let summary = self.daemons[id].load_summary(id as u64, now);
+            let interval = regular_interval(self.daemons.len());
+            self.daemons[id].next_plan = now + interval.mul_f64(1.0 + variation);
+            for receiver in 0..self.daemons.len() {
+                let is_lost = receiver != id
+                    && (self.daemons[receiver].is_cut
+                        || self.rng.random::<f64>() < self.spec.lost_load_share);
+                if !is_lost {
+                    self.daemons[receiver].record_summary(summary.clone(), now);
+                }
             }
-            daemon.update_plan(&self.table, now);
+            self.daemons[id].update_plan(&self.table, now);
         }
     }
 
--- a/src/emulator/fleet_spec.rs
+++ b/src/emulator/fleet_spec.rs
@@ -53,6 +53,8 @@
     pub services: Vec<ServiceSpec>,
     /// Routes, at most one for each name.
     pub routes: Vec<RouteLoad>,
+    /// Share of the load messages that are lost.
+    pub lost_load_share: f64,
 }
 
 /// Fault or change of load during an emulation. Instances are numbered in the order of the services.
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -12,7 +12,7 @@
             fleet_retry_budget::FleetRetryBudget,
             fleet_view::FleetView,
             instance_selector::InstanceSelector,
-            reader_election::{ReaderElection, StoreStatus},
+            reader_election::{ReaderElection, StartProgress, StoreStatus},
             route_table::RouteTable,
             traffic_split::TrafficSplit,
             update_gap::UpdateGap,
@@ -240,6 +240,17 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Returns what this daemon knows of the fleet.
+    pub fn start_progress(&self) -> StartProgress {
+        if !self.has_entries() {
+            StartProgress::WithoutState
+        } else if self.is_published.load(Ordering::Relaxed) {
+            StartProgress::Published
+        } else {
+            StartProgress::Unpublished
+        }
+    }
+
     /// Returns the number of instances of which an entry is stored.
     pub fn member_count(&self) -> usize {
         self.items.lock().entries.len()
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -175,7 +175,7 @@
         tokio::time::sleep(READER_ELECTION_INTERVAL).await;
         let peer_timeout = load_interval(&state) * MAX_MISSED_LOAD_MESSAGES;
         let is_reader = state.reader_election.lock().decide(
-            state.has_entries(),
+            state.start_progress(),
             peer_timeout,
             state.clock.now(),
         );
--- a/tests/load_patterns/main.rs
+++ b/tests/load_patterns/main.rs
@@ -1,6 +1,7 @@
 //! Load patterns on an emulated fleet. Each module is named after a pattern that made whole
 //! requests fail, or refused them while slots were free.
 
+mod large_fleet;
 mod long_roots_beside_short_calls;
 mod lost_reach;
 mod recovery_after_restart;
@@ -94,6 +95,7 @@
             ),
             route("part", "deep", 1, [40, 300, 700], 0.0, vec![]),
         ],
+        lost_load_share: 0.0,
     }
 }
 
--- a/tests/load_patterns/wrong_learned_costs.rs
+++ b/tests/load_patterns/wrong_learned_costs.rs
@@ -50,6 +50,7 @@
             ),
             route("part", "deep", 1, [40, 300, 700], 0.0, vec![]),
         ],
+        lost_load_share: 0.0,
     }
 }
 
