Bound responses that a backend server sends without end

All bodies in progress share 48 MB now, and one gets at most half of what the others leave. The connection is closed at the bound and the result is unknown, never 'not run'. Status line, header, headers, empty lines, chunk sizes and chunks without end were bounded already; the test covers them.

--- a/src/http1.rs
+++ b/src/http1.rs
@@ -5,6 +5,7 @@
 //! with the identifier of another attempt is skipped while the client waits for the matching one.
 
 pub mod body_decoder;
+pub mod byte_budget;
 pub mod client_connection;
 pub mod header_list;
 pub mod message_head;
--- a/src/http1/body_decoder.rs
+++ b/src/http1/body_decoder.rs
@@ -3,9 +3,12 @@
 use super::message_head::MessageError;
 use bytes::{Buf, BytesMut};
 
-/// Longest chunk size line or trailer field in bytes.
+/// Longest chunk size line in bytes.
 const MAX_LINE_BYTES: usize = 8 << 10;
 
+/// Largest trailer section in bytes.
+const MAX_TRAILER_BYTES: usize = 8 << 10;
+
 /// How a body is framed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyLength {
@@ -23,7 +26,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailers,
+    /// Trailer section with the number of bytes read so far.
+    Trailers(usize),
     UntilClose,
     Done,
 }
@@ -106,7 +110,7 @@
                 };
                 input.advance(length);
                 self.state = match size {
-                    0 => DecoderState::Trailers,
+                    0 => DecoderState::Trailers(0),
                     size => DecoderState::ChunkData(size),
                 };
             }
@@ -120,14 +124,20 @@
                 input.advance(2);
                 self.state = DecoderState::ChunkSize;
             }
-            DecoderState::Trailers => {
-                let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
-                    return check_incomplete_line(input);
+            DecoderState::Trailers(read) => {
+                let end = input.windows(2).position(|pair| pair == b"\r\n");
+                let total = read + end.map_or(input.len(), |end| end + 2);
+                if total > MAX_TRAILER_BYTES {
+                    return Err(MessageError::Chunk);
+                }
+                let Some(end) = end else {
+                    return Ok(false);
                 };
                 input.advance(end + 2);
-                if end == 0 {
-                    self.state = DecoderState::Done;
-                }
+                self.state = match end {
+                    0 => DecoderState::Done,
+                    _ => DecoderState::Trailers(total),
+                };
             }
         }
         Ok(true)
--- a/src/http1/client_connection.rs
+++ b/src/http1/client_connection.rs
@@ -2,6 +2,7 @@
 
 use super::{
     body_decoder::{BodyDecoder, BodyLength},
+    byte_budget::{ByteBudget, ReservedBytes},
     message_head::{MessageError, ResponseHead},
 };
 use crate::common::*;
@@ -15,6 +16,10 @@
 /// Largest head of a response in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Most informational responses and responses to other requests that precede a response. A server
+/// in trouble may send them without end.
+const MAX_SKIPPED_RESPONSES: usize = 16;
+
 /// Size of one read in bytes.
 const READ_BYTES: usize = 8 << 10;
 
@@ -27,11 +32,39 @@
     /// The server closed the connection before the response was complete.
     #[error("The server closed the connection before the response was complete.")]
     Closed,
+    /// Too many informational responses or responses to other requests came before the response.
+    #[error("The server sent too many other responses.")]
+    SkippedResponses,
     /// The server sent an invalid response.
     #[error(transparent)]
     Message(#[from] MessageError),
 }
 
+/// Bounds on the body of a response.
+#[derive(Clone, Debug)]
+pub struct BodyLimits {
+    max_bytes: u64,
+    budget: Option<Arc<ByteBudget>>,
+}
+
+impl BodyLimits {
+    /// Allows bodies of up to `max_bytes`.
+    pub fn new(max_bytes: u64) -> Self {
+        Self {
+            max_bytes,
+            budget: None,
+        }
+    }
+
+    /// Bounds the body also by a budget that is shared with other exchanges.
+    pub fn with_budget(self, budget: Arc<ByteBudget>) -> Self {
+        Self {
+            budget: Some(budget),
+            ..self
+        }
+    }
+}
+
 /// Complete response of a server.
 #[derive(Debug)]
 pub struct ServerResponse {
@@ -82,7 +115,7 @@
         &mut self,
         request: &[u8],
         is_head: bool,
-        max_body: u64,
+        limits: &BodyLimits,
         matches_request: impl Fn(&ResponseHead) -> bool,
     ) -> Result<ServerResponse, ExchangeError> {
         let Self {
@@ -97,7 +130,7 @@
             buffer,
             skipped_response,
         };
-        let reading = incoming.read(is_head, max_body, matches_request);
+        let reading = incoming.read(is_head, limits, matches_request);
         tokio::pin!(writing, reading);
         tokio::select! {
             biased;
@@ -129,16 +162,16 @@
     async fn read(
         &mut self,
         is_head: bool,
-        max_body: u64,
+        limits: &BodyLimits,
         matches_request: impl Fn(&ResponseHead) -> bool,
     ) -> Result<ServerResponse, ExchangeError> {
-        loop {
+        for _ in 0..=MAX_SKIPPED_RESPONSES {
             let head = self.read_head().await?;
             if matches!(head.status, 100..=199) {
                 continue;
             }
             let length = head.body_length(is_head)?;
-            let body = self.read_body(length, max_body).await?;
+            let body = self.read_body(length, limits).await?;
             if !matches_request(&head) {
                 if length == BodyLength::UntilClose {
                     return Err(ExchangeError::Closed);
@@ -156,6 +189,7 @@
                 is_reusable,
             });
         }
+        Err(ExchangeError::SkippedResponses)
     }
 
     async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
@@ -174,11 +208,19 @@
     async fn read_body(
         &mut self,
         length: BodyLength,
-        max_body: u64,
+        limits: &BodyLimits,
     ) -> Result<Bytes, ExchangeError> {
         let mut decoder = BodyDecoder::new(length);
         let mut body = BytesMut::new();
-        while !decoder.decode(self.buffer, &mut body, max_body)? {
+        let mut reserved = limits.budget.clone().map(ReservedBytes::new);
+        while !decoder.decode(self.buffer, &mut body, limits.max_bytes)? {
+            let length = body.len() as u64;
+            if reserved
+                .as_mut()
+                .is_some_and(|bytes| !bytes.extend_to(length))
+            {
+                return Err(MessageError::BodySize.into());
+            }
             if self.fill().await? == 0 {
                 if decoder.ends_with_connection() {
                     break;
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -16,7 +16,8 @@
         request_priority::RequestPriority,
     },
     http1::{
-        client_connection::{ClientConnection, ExchangeError, ServerResponse},
+        byte_budget::ByteBudget,
+        client_connection::{BodyLimits, ClientConnection, ExchangeError, ServerResponse},
         message_head::ResponseHead,
     },
     mesh::{
@@ -38,6 +39,11 @@
 /// Largest body of a response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 
+/// Memory for the bodies of all responses that are received at the same time, in bytes. One body
+/// gets at most half of what the others leave. The smallest machines have 160 MB, and a buffer that
+/// grows needs up to twice the size of its content.
+const RESPONSE_BUDGET_BYTES: u64 = 48 << 20;
+
 /// Time after the deadline in which the backend server can still report the timeout itself.
 const RESPONSE_GRACE: Duration = Duration::from_millis(20);
 
@@ -62,6 +68,7 @@
     clock: Arc<dyn Clock>,
     gate: Arc<GateController>,
     pool: BackendPool,
+    body_limits: BodyLimits,
     service_times: Mutex<ServiceTimes>,
     call_counts: Mutex<CallCounts>,
     identity: Mutex<BackendIdentity>,
@@ -85,6 +92,8 @@
             )),
             clock,
             pool: BackendPool::new(backend),
+            body_limits: BodyLimits::new(MAX_RESPONSE_BYTES)
+                .with_budget(Arc::new(ByteBudget::new(RESPONSE_BUDGET_BYTES))),
             service_times: Mutex::default(),
             call_counts: Mutex::default(),
             identity: Mutex::default(),
@@ -241,7 +250,9 @@
                     call.attempt_id.escape_ascii()
                 );
                 let reason = match error {
-                    ExchangeError::Message(_) => UnknownReason::Invalid,
+                    ExchangeError::Message(_) | ExchangeError::SkippedResponses => {
+                        UnknownReason::Invalid
+                    }
                     ExchangeError::Connection(_) | ExchangeError::Closed => UnknownReason::Broken,
                 };
                 RunResult::Unknown(reason)
@@ -316,7 +327,7 @@
             .exchange(
                 &request,
                 call.method == "HEAD",
-                MAX_RESPONSE_BYTES,
+                &self.body_limits,
                 matches_attempt,
             )
             .await?;
--- a/src/mesh/store_client.rs
+++ b/src/mesh/store_client.rs
@@ -4,7 +4,7 @@
     common::*,
     decision::mesh::response_limit::MAX_RESPONSE_LIMIT,
     http1::{
-        client_connection::{ClientConnection, ExchangeError},
+        client_connection::{BodyLimits, ClientConnection, ExchangeError},
         message_head::ResponseHead,
     },
     mesh::store_interface::{StoreChanges, StoreFormat, StoreFormatError, StorePage},
@@ -86,9 +86,9 @@
                 .map_err(|_| StoreError::Timeout)??,
         };
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
+        let limits = BodyLimits::new(MAX_RESPONSE_BYTES);
         let accept_any = |_: &ResponseHead| true;
-        let exchange =
-            connection.exchange(request.as_bytes(), false, MAX_RESPONSE_BYTES, accept_any);
+        let exchange = connection.exchange(request.as_bytes(), false, &limits, accept_any);
         let response = timeout(limit, exchange)
             .await
             .map_err(|_| StoreError::Timeout)??;
--- a/tests/mesh/http1_framing.rs
+++ b/tests/mesh/http1_framing.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 use skylarkstream::http1::{
     body_decoder::{BodyDecoder, BodyLength},
-    client_connection::{ClientConnection, ExchangeError, ServerResponse},
+    client_connection::{BodyLimits, ClientConnection, ExchangeError, ServerResponse},
     message_head::{MessageError, RequestHead},
 };
 
@@ -93,7 +93,7 @@
         head.headers.get("Id") == Some(b"own")
     };
     connection
-        .exchange(request, false, 1_000, matches_request)
+        .exchange(request, false, &BodyLimits::new(1_000), matches_request)
         .await
 }
 
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod decoders;
 mod end_to_end;
+mod endless_responses;
 mod fleet_retry_budget;
 mod fleet_view;
 mod http1_framing;
