Keep load summaries for three load intervals, and report what the plan uses

With 194 daemons it is sent each 1.94 s, so that one lost message took the slots of a daemon out of the plan; the test lost_load_message_does_not_remove_a_daemon fails with that lifetime. Metrics for operators: store_readers, plan_daemons, plan_summary_age, load_interval.

--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -16,8 +16,12 @@
 };
 use std::net::IpAddr;
 
-/// Age at which a load summary is no longer used.
-const SUMMARY_LIFETIME: Duration = Duration::from_secs(4);
+/// Shortest age at which a load summary is no longer used.
+const MIN_SUMMARY_LIFETIME: Duration = Duration::from_secs(4);
+
+/// Number of load intervals after which a load summary is no longer used. With two, one lost message
+/// would take the slots of a daemon out of the plan.
+const SUMMARY_LIFETIME_INTERVALS: u32 = 3;
 
 /// Runs per request at a service from which a route depends on it. Smaller figures result from
 /// calls that are attributed to the wrong route, or concern few requests.
@@ -90,6 +94,7 @@
     rates: IndexMap<SmolStr, f64>,
     services: IndexMap<SmolStr, ServicePlan>,
     daemons: usize,
+    oldest_summary: Duration,
 }
 
 /// Plan for one service, with the measurements that decided it.
@@ -129,6 +134,11 @@
         self.daemons
     }
 
+    /// Returns the age of the oldest load summary that is used.
+    pub fn oldest_summary(&self) -> Duration {
+        self.oldest_summary
+    }
+
     /// Returns whether any route has a share below 1, so that some of its requests are refused.
     pub fn is_shedding(&self) -> bool {
         self.routes.values().any(|route| route.share < 1.0)
@@ -144,11 +154,17 @@
 #[derive(Debug, Default)]
 pub struct AdmissionPlanner {
     summaries: IndexMap<u64, (LoadSummary, Instant)>,
+    load_interval: Duration,
     control: CapacityControl,
     last_plan: AdmissionPlan,
 }
 
 impl AdmissionPlanner {
+    /// Sets the interval at which the daemons send their load.
+    pub fn set_load_interval(&mut self, interval: Duration) {
+        self.load_interval = interval;
+    }
+
     /// Records the load summary of a daemon.
     pub fn record_summary(&mut self, summary: LoadSummary, now: Instant) {
         self.summaries.insert(summary.daemon_id, (summary, now));
@@ -162,14 +178,16 @@
         reach: impl Fn(IpAddr) -> PeerReach,
         now: Instant,
     ) -> AdmissionPlan {
+        let lifetime = MIN_SUMMARY_LIFETIME.max(self.load_interval * SUMMARY_LIFETIME_INTERVALS);
         self.summaries
-            .retain(|_, (_, received_at)| *received_at + SUMMARY_LIFETIME > now);
+            .retain(|_, (_, received_at)| *received_at + lifetime > now);
         let mut sums = FleetSums::default();
         for (summary, _) in self.summaries.values() {
             sums.add(summary, reach(summary.ip));
         }
         let mut plan = AdmissionPlan {
             daemons: sums.daemons,
+            oldest_summary: self.oldest_summary(now),
             ..AdmissionPlan::default()
         };
         for route in table.routes() {
@@ -197,6 +215,12 @@
         plan
     }
 
+    fn oldest_summary(&self, now: Instant) -> Duration {
+        let summaries = self.summaries.values();
+        let ages = summaries.map(|(_, received_at)| now.saturating_duration_since(*received_at));
+        ages.max().unwrap_or_default()
+    }
+
     /// Updates the allowed load of each service by the effect of the last plan.
     fn update_control(
         &mut self,
--- a/src/emulator/emulated_daemon.rs
+++ b/src/emulator/emulated_daemon.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Sets the interval at which the daemons send their load.
+    pub fn set_load_interval(&mut self, interval: Duration) {
+        self.selector.set_load_interval(interval);
+        self.planner.set_load_interval(interval);
+    }
+
     /// Records the load summary of a daemon.
     pub fn record_summary(&mut self, summary: LoadSummary, now: Instant) {
         self.selector.set_last_seen(summary.ip, now);
--- a/src/emulator/fleet_emulator.rs
+++ b/src/emulator/fleet_emulator.rs
@@ -8,7 +8,7 @@
         mesh::{
             fleet_view::FleetView,
             instance_selector::{InstanceResult, SelectionRequest},
-            load_schedule::PLAN_INTERVAL,
+            load_schedule::{PLAN_INTERVAL, regular_interval},
             route_table::RouteTable,
         },
     },
@@ -222,6 +222,7 @@
                 .filter(|other| other.service == *service);
             let service_daemons = same_service.count();
             let members = self.daemons.len();
+            self.daemons[id].set_load_interval(regular_interval(members));
             let is_due =
                 self.daemons[id]
                     .load_schedule
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -12,6 +12,7 @@
             fleet_retry_budget::FleetRetryBudget,
             fleet_view::FleetView,
             instance_selector::InstanceSelector,
+            load_schedule::regular_interval,
             reader_election::{ReaderElection, StartProgress, StoreStatus},
             route_table::RouteTable,
             traffic_split::TrafficSplit,
@@ -300,10 +301,20 @@
             members: self.member_count(),
             is_published: self.is_published.load(Ordering::Relaxed),
             response_age: self.store_response_age(),
+            store_readers: self.store_readers(),
+            load_interval: regular_interval(self.member_count()),
+            plan_daemons: self.plan().daemons(),
+            oldest_summary: self.plan().oldest_summary(),
         };
         self.metrics.text(self.executor.load(), &view)
     }
 
+    /// Returns the number of daemons of this data centre that read the store, as far as known.
+    fn store_readers(&self) -> usize {
+        let election = self.reader_election.lock();
+        election.other_readers() + usize::from(election.is_reading())
+    }
+
     /// Returns the admission plan in force.
     pub fn plan(&self) -> Arc<AdmissionPlan> {
         Arc::clone(&self.plan.lock())
@@ -359,7 +370,9 @@
         let now = self.clock.now();
         let local_ip = self.settings.peer.ip();
         let summary = self.executor.load_summary(self.daemon_id, local_ip);
+        let interval = regular_interval(self.member_count());
         let mut planner = self.planner.lock();
+        planner.set_load_interval(interval);
         planner.record_summary(summary.clone(), now);
         if let Some(routes) = self.routes() {
             let selector = self.selector.lock();
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -29,6 +29,14 @@
     pub is_published: bool,
     /// Time since the store last responded, if this daemon reads it.
     pub response_age: Option<Duration>,
+    /// Daemons of this data centre that read the store.
+    pub store_readers: usize,
+    /// Interval at which the daemons send each other their load.
+    pub load_interval: Duration,
+    /// Daemons whose load the admission plan uses.
+    pub plan_daemons: usize,
+    /// Age of the oldest load that the admission plan uses.
+    pub oldest_summary: Duration,
 }
 
 type Labels = Vec<(&'static str, String)>;
@@ -51,6 +59,10 @@
     limit: Gauge,
     config_version: Gauge,
     members: Gauge,
+    store_readers: Gauge,
+    plan_daemons: Gauge,
+    load_interval: Gauge<f64, AtomicU64>,
+    plan_summary_age: Gauge<f64, AtomicU64>,
 }
 
 impl MeshMetrics {
@@ -73,6 +85,10 @@
             limit: Gauge::default(),
             config_version: Gauge::default(),
             members: Gauge::default(),
+            store_readers: Gauge::default(),
+            plan_daemons: Gauge::default(),
+            load_interval: Gauge::default(),
+            plan_summary_age: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -114,6 +130,18 @@
             Unit::Seconds,
             self.store_response_age.clone(),
         );
+        registry.register_with_unit(
+            "load_interval",
+            "Interval at which the daemons send each other their load",
+            Unit::Seconds,
+            self.load_interval.clone(),
+        );
+        registry.register_with_unit(
+            "plan_summary_age",
+            "Age of the oldest load that the admission plan uses",
+            Unit::Seconds,
+            self.plan_summary_age.clone(),
+        );
         let gauges = [
             (
                 "store_reading",
@@ -142,6 +170,16 @@
                 &self.config_version,
             ),
             ("members", "Instances of all services", &self.members),
+            (
+                "store_readers",
+                "Daemons of this data centre that read the store",
+                &self.store_readers,
+            ),
+            (
+                "plan_daemons",
+                "Daemons whose load the admission plan uses",
+                &self.plan_daemons,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -188,6 +226,10 @@
         self.config_version.set(view.config_version as i64);
         self.members.set(view.members as i64);
         self.published.set(view.is_published.into());
+        self.store_readers.set(view.store_readers as i64);
+        self.plan_daemons.set(view.plan_daemons as i64);
+        self.load_interval.set(view.load_interval.as_secs_f64());
+        self.plan_summary_age.set(view.oldest_summary.as_secs_f64());
         let mut output = String::new();
         // Writing to a string does not fail.
         let _ = text::encode(&mut output, &self.registry);
--- a/tests/mesh/admission.rs
+++ b/tests/mesh/admission.rs
@@ -138,6 +138,33 @@
     plan
 }
 
+/// Guards against slots that vanish from the plan because one load message was lost: in a fleet of
+/// hundreds the next one arrives 4 s after the last.
+#[test]
+fn lost_load_message_does_not_remove_a_daemon() {
+    let clock = ManualClock::new();
+    let mut planner = AdmissionPlanner::default();
+    let interval = Duration::from_millis(1_940);
+    planner.set_load_interval(interval);
+    let load = Load {
+        book: 50.0,
+        browse: 150.0,
+        status: 100.0,
+        deep_requests: 50,
+    };
+    for summary in summaries(&load) {
+        planner.record_summary(summary, clock.now());
+    }
+    let table = call_chain();
+    clock.advance(interval.mul_f64(2.2));
+    let plan = planner.plan(&table, |_| PeerReach::Serving, clock.now());
+    assert_eq!(plan.daemons(), 2);
+    assert_eq!(plan.oldest_summary(), interval.mul_f64(2.2));
+    clock.advance(interval);
+    let plan = planner.plan(&table, |_| PeerReach::Serving, clock.now());
+    assert_eq!(plan.daemons(), 0);
+}
+
 fn shares(plan: &AdmissionPlan) -> [f64; 3] {
     ["book", "status", "browse"].map(|name| plan.route(name).expect("a route").share)
 }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -16,6 +16,7 @@
 mod instance_selector;
 mod line_queue;
 mod link_liveness;
+mod load_schedule;
 mod peer_link;
 mod reader_election;
 mod route_table;
