--- a/src/decision/mesh/admission_plan.rs
+++ b/src/decision/mesh/admission_plan.rs
@@ -27,6 +27,9 @@
 /// calls that are attributed to the wrong route, or concern few requests.
 const NEEDED_RUNS: f64 = 0.7;
 
+/// Smallest rate of root requests by which their mean cost is divided, in requests per second.
+const MIN_ROOT_RATE: f64 = 0.01;
+
 /// Requests at a service, as a share of its slots, from which the runs that call it wait.
 const SATURATED_UTILISATION: f64 = 0.8;
 
@@ -243,6 +246,7 @@
             .collect();
         let roots = plan.routes.iter().filter(|(_, route)| !route.is_nested);
         let root_rate: f64 = roots.map(|(name, _)| sums.rate(name)).sum();
+        let root_rate = root_rate.max(MIN_ROOT_RATE);
         for route in table.routes() {
             let Some(entered) = sums.entered.get(&route.name) else {
                 continue;
--- a/src/decision/mesh/capacity_control.rs
+++ b/src/decision/mesh/capacity_control.rs
@@ -96,8 +96,8 @@
     /// Correction of the planned slots.
     factor: f64,
     mean_requests: f64,
-    /// Estimated cost of a request at the last update.
-    request_cost: f64,
+    /// Highest estimated cost of a request since the last decrease.
+    reference_cost: f64,
     settles_at: Instant,
 }
 
@@ -127,7 +127,7 @@
         let control = entry.or_insert(ServiceControl {
             factor: 1.0,
             mean_requests: measurement.requests,
-            request_cost: measurement.request_cost,
+            reference_cost: measurement.request_cost,
             settles_at: now,
         });
         control.update(measurement, now);
@@ -168,11 +168,15 @@
 
     /// Raises a correction below 1 with the estimated cost of a request. The correction was made for
     /// the lower estimate, for example before the first runs of a fleet had ended, and would otherwise
-    /// lower the load a second time.
+    /// lower the load a second time. An estimate that only varies does not raise it.
     fn follow_cost(&mut self, request_cost: f64) {
-        let previous = std::mem::replace(&mut self.request_cost, request_cost);
-        if self.factor < 1.0 && previous > 0.0 && request_cost > previous {
-            self.factor = (self.factor * request_cost / previous).min(1.0);
+        if self.factor >= 1.0 {
+            self.reference_cost = request_cost;
+        } else if request_cost > self.reference_cost {
+            if self.reference_cost > 0.0 {
+                self.factor = (self.factor * request_cost / self.reference_cost).min(1.0);
+            }
+            self.reference_cost = request_cost;
         }
     }
 
@@ -199,6 +203,7 @@
         if planned_slots > 0.0 {
             let admitted = (measurement.admitted_slots / planned_slots).min(self.factor);
             self.factor = admitted * (1.0 - excess);
+            self.reference_cost = measurement.request_cost;
         }
     }
 }
