--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -59,6 +59,9 @@
     is_stopping: AtomicBool,
 }
 
+/// Number of daemons from which the others request their first store state.
+const SEEDS: usize = 3;
+
 fn machine_ip(machine: usize) -> IpAddr {
     let (high, low) = (machine / 200, machine % 200);
     IpAddr::from([127, 0, 1 + high as u8, 10 + low as u8])
@@ -88,6 +91,11 @@
             attempt_count: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
         };
+        // The daemons use the port of their own group.
+        let seeds: Vec<String> = (0..machines.min(SEEDS))
+            .map(|machine| format!("\"{}:1\"", machine_ip(machine)))
+            .collect();
+        let seeds = seeds.join(", ");
         for machine in 0..machines {
             let address = |port| SocketAddr::new(machine_ip(machine), port);
             let own_group = machine % groups;
@@ -104,7 +112,7 @@
             let settings = format!(
                 "instance = \"d-{machine}\"\ndata_centre = \"{}\"\nservice = \"{service}\"\n\
                  backend = \"{}\"\noutbound = \"{}\"\npeer = \"{}\"\nreadiness = \"{}\"\n\
-                 store = \"{}\"\ngrace_s = {}\nbudget = {{ ratio = {RETRY_BUDGET_RATIO}, slack = \
+                 store = \"{}\"\nseeds = [{seeds}]\ngrace_s = {}\nbudget = {{ ratio = {RETRY_BUDGET_RATIO}, slack = \
                  {RETRY_BUDGET_SLACK:?}, window_s = {} }}\nlog = {{ level = \"info\", format = \
                  \"json\" }}\n",
                 data_centre(machine),
