Show the limit that a backend server names

A daemon decodes the limit in the responses of its backend server, writes a line when the server names, changes or withdraws one, and one for a value that it ignores. The metrics show the limit beside the requests that were sent.

--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -12,6 +12,7 @@
 pub mod link_liveness;
 pub mod load_schedule;
 pub mod load_summary;
+pub mod named_limit;
 pub mod reader_election;
 pub mod response_limit;
 pub mod route_table;
--- a/src/mesh/context_headers.rs
+++ b/src/mesh/context_headers.rs
@@ -17,6 +17,8 @@
     pub not_executed: &'static str,
     /// Time after which a refused caller may retry, in seconds.
     pub retry_after_s: &'static str,
+    /// Requests per second that the backend server accepts from all daemons together.
+    pub rate_limit: &'static str,
     /// Service of the machine on which the request originates.
     pub caller_service: &'static str,
 }
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -10,6 +10,7 @@
             call_counts::{CallCounts, RunKey},
             instance_selector::LoadReport,
             load_summary::LoadSummary,
+            named_limit::NamedLimit,
             service_times::ServiceTimes,
         },
         profile::service_profile::AdmissionLimits,
@@ -18,6 +19,7 @@
     http1::{
         byte_budget::ByteBudget,
         client_connection::{BodyLimits, ClientConnection, ExchangeError, ServerResponse},
+        header_list::HeaderList,
         message_head::ResponseHead,
     },
     mesh::{
@@ -32,7 +34,7 @@
 use bytes::{BufMut, BytesMut};
 use std::{
     net::IpAddr,
-    sync::atomic::{AtomicBool, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 use tokio::time::timeout_at;
 
@@ -72,6 +74,9 @@
     service_times: Mutex<ServiceTimes>,
     call_counts: Mutex<CallCounts>,
     identity: Mutex<BackendIdentity>,
+    named_limit: Mutex<Option<NamedLimit>>,
+    has_invalid_limit: AtomicBool,
+    run_count: AtomicU64,
     is_draining: AtomicBool,
 }
 
@@ -97,6 +102,9 @@
             service_times: Mutex::default(),
             call_counts: Mutex::default(),
             identity: Mutex::default(),
+            named_limit: Mutex::default(),
+            has_invalid_limit: AtomicBool::new(false),
+            run_count: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
         }
     }
@@ -135,6 +143,16 @@
         }
     }
 
+    /// Returns the limit that the backend server names, in requests per second.
+    pub fn named_rate(&self) -> Option<f64> {
+        self.named_limit.lock().map(|limit| limit.rate)
+    }
+
+    /// Returns the number of requests that were sent to the backend server.
+    pub fn run_count(&self) -> u64 {
+        self.run_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the load summary for the other daemons.
     pub fn load_summary(&self, daemon_id: u64, ip: IpAddr) -> LoadSummary {
         let now = self.clock.now();
@@ -236,6 +254,7 @@
         }
         let expected = self.identity.lock().expected(&call.instance);
         let mut run = CountedRun::start(self, &call.route);
+        self.run_count.fetch_add(1, Ordering::Relaxed);
         let response_deadline = deadline + RESPONSE_GRACE;
         let exchange = self.exchange(connection, call, &expected, deadline - started);
         let Ok(response) = timeout_at(response_deadline.into(), exchange).await else {
@@ -273,6 +292,33 @@
         result
     }
 
+    /// Records the limit that a response names. Only a signed response without one withdraws it.
+    fn observe_limit(&self, headers: &HeaderList, is_signed: bool) {
+        let limit = match NamedLimit::decode(headers.all(self.headers.rate_limit)) {
+            Ok(None) if !is_signed => return,
+            Ok(limit) => limit,
+            Err(error) => {
+                if !self.has_invalid_limit.swap(true, Ordering::Relaxed) {
+                    log::warn!("executor: Ignored the limit in a response. {error}");
+                }
+                return;
+            }
+        };
+        self.has_invalid_limit.store(false, Ordering::Relaxed);
+        let previous = std::mem::replace(&mut *self.named_limit.lock(), limit);
+        if previous == limit {
+            return;
+        }
+        match limit {
+            Some(limit) => log::info!(
+                rate = limit.rate,
+                previous = previous.map(|previous| previous.rate);
+                "executor: The backend server names a limit."
+            ),
+            None => log::info!("executor: The backend server withdraws its limit."),
+        }
+    }
+
     async fn admit(&self, call: &CallFrame, deadline: Instant) -> Result<GatePermit, ShedReason> {
         let expected_time = self.service_times.lock().mean(&call.route);
         let request = GateRequest {
@@ -368,11 +414,14 @@
             }
             return RunResult::NotRun(NotRunReason::OtherInstance);
         }
+        let is_signed = headers.get(self.headers.signature).is_some();
+        let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
+        if matches_attempt {
+            self.observe_limit(headers, is_signed);
+        }
         if headers.get(self.headers.not_executed).is_some() {
             return RunResult::NotRun(NotRunReason::Refused);
         }
-        let is_signed = headers.get(self.headers.signature).is_some();
-        let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
         // Callers request no content encoding, so an encoded body was changed on the way.
         let is_encoded = headers.get("Content-Encoding").is_some();
         if !matches_attempt || is_encoded || (!is_signed && head.status < 300) {
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -305,6 +305,8 @@
             load_interval: regular_interval(self.member_count()),
             plan_daemons: self.plan().daemons(),
             oldest_summary: self.plan().oldest_summary(),
+            named_rate: self.executor.named_rate(),
+            runs: self.executor.run_count(),
         };
         self.metrics.text(self.executor.load(), &view)
     }
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -37,6 +37,10 @@
     pub plan_daemons: usize,
     /// Age of the oldest load that the admission plan uses.
     pub oldest_summary: Duration,
+    /// Limit that the local backend server names, in requests per second.
+    pub named_rate: Option<f64>,
+    /// Requests that were sent to the local backend server.
+    pub runs: u64,
 }
 
 type Labels = Vec<(&'static str, String)>;
@@ -63,6 +67,8 @@
     plan_daemons: Gauge,
     load_interval: Gauge<f64, AtomicU64>,
     plan_summary_age: Gauge<f64, AtomicU64>,
+    named_limit: Family<Labels, Gauge<f64, AtomicU64>>,
+    runs: Counter,
 }
 
 impl MeshMetrics {
@@ -89,6 +95,8 @@
             plan_daemons: Gauge::default(),
             load_interval: Gauge::default(),
             plan_summary_age: Gauge::default(),
+            named_limit: Family::default(),
+            runs: Counter::default(),
         };
         metrics.register();
         metrics
@@ -142,6 +150,13 @@
             Unit::Seconds,
             self.plan_summary_age.clone(),
         );
+        registry.register(
+            "named_limit",
+            "Requests per second that the backend server accepts; absent without a limit",
+            self.named_limit.clone(),
+        );
+        let runs = self.runs.clone();
+        registry.register("runs", "Requests sent to the backend server", runs);
         let gauges = [
             (
                 "store_reading",
@@ -230,6 +245,11 @@
         self.plan_daemons.set(view.plan_daemons as i64);
         self.load_interval.set(view.load_interval.as_secs_f64());
         self.plan_summary_age.set(view.oldest_summary.as_secs_f64());
+        self.named_limit.clear();
+        if let Some(rate) = view.named_rate {
+            self.named_limit.get_or_create(&Labels::new()).set(rate);
+        }
+        self.runs.inc_by(view.runs.saturating_sub(self.runs.get()));
         let mut output = String::new();
         // Writing to a string does not fail.
         let _ = text::encode(&mut output, &self.registry);
--- a/src/platform/context_names.rs
+++ b/src/platform/context_names.rs
@@ -14,6 +14,7 @@
         instance: "Instance-Id",
         not_executed: "Not-Executed",
         retry_after_s: "Retry-After",
+        rate_limit: "Server-Limit",
         caller_service: "Caller-Service",
     }
 }
