--- a/tests/mesh/end_to_end.rs
+++ b/tests/mesh/end_to_end.rs
@@ -23,11 +23,11 @@
      "target-latency-s":10,"priority":0,"service":"s","max-attempts":2}],"services":[]}"#;
 
 /// Two daemons, each with a backend server of the same service.
-struct Fleet {
-    backends: Vec<Arc<BackendStandIn>>,
+pub struct Fleet {
+    pub backends: Vec<Arc<BackendStandIn>>,
     /// Addresses of the backend servers.
     addresses: Vec<SocketAddr>,
-    outbound: Vec<SocketAddr>,
+    pub outbound: Vec<SocketAddr>,
     readiness: Vec<SocketAddr>,
     stops: Vec<watch::Sender<bool>>,
     daemons: Vec<JoinHandle<()>>,
@@ -35,7 +35,7 @@
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    pub async fn start() -> Self {
         Self::start_with(true, false).await
     }
 
@@ -135,7 +135,7 @@
     }
 }
 
-fn request(path: &str, attempt: &str) -> String {
+pub fn request(path: &str, attempt: &str) -> String {
     format!(
         "GET {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 15000\r\n\
          Caller-Service: forged\r\n\r\n"
@@ -143,7 +143,7 @@
 }
 
 /// Sends a request on a new connection and returns the response, or an empty text without one.
-async fn send_request(address: SocketAddr, request: &str) -> String {
+pub async fn send_request(address: SocketAddr, request: &str) -> String {
     let Ok(mut stream) = TcpStream::connect(address).await else {
         return String::new();
     };
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -17,6 +17,7 @@
 mod line_queue;
 mod link_liveness;
 mod load_schedule;
+mod named_limit;
 mod peer_link;
 mod reader_election;
 mod route_table;
--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -56,6 +56,8 @@
     /// Instance id.
     pub id: Mutex<String>,
     pub behaviour: Mutex<Behaviour>,
+    /// Header lines that all responses have in addition.
+    pub header_lines: Mutex<String>,
     /// Heads of the requests that were run.
     pub runs: Mutex<Vec<String>>,
     /// Number of connections that were closed while a request was held.
@@ -70,6 +72,7 @@
         let server = Arc::new(Self {
             id: Mutex::new(id.to_owned()),
             behaviour: Mutex::new(Behaviour::Respond),
+            header_lines: Mutex::default(),
             runs: Mutex::default(),
             cancelled: Mutex::default(),
             release: tokio::sync::Notify::new(),
@@ -87,6 +90,11 @@
         *self.behaviour.lock() = behaviour;
     }
 
+    /// Sets the header lines that all responses have in addition.
+    pub fn set_header_lines(&self, lines: &str) {
+        *self.header_lines.lock() = lines.to_owned();
+    }
+
     pub fn run_count(&self) -> usize {
         self.runs.lock().len()
     }
@@ -104,9 +112,10 @@
                 continue;
             }
             let behaviour = *self.behaviour.lock();
+            let lines = self.header_lines.lock().clone();
             if behaviour == Behaviour::Refuse {
                 let response = format!(
-                    "HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n\
+                    "HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n{lines}\
                      Content-Length: 0\r\n\r\n"
                 );
                 let _ = stream.write_all(response.as_bytes()).await;
@@ -133,7 +142,7 @@
             };
             let body = format!("{id} ran {attempt}");
             let response = format!(
-                "HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n\
+                "HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n{lines}\
                  Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
