Keep the limit that a backend server names

Callers saw a server in need get several times the requests that it had named as its limit. Cause: daemons passed the header on and nothing used it; the failing test showed the limit in the metrics while the load did not change.

The daemon beside the server sees each arrival, so it paces them for the whole fleet: requests beyond the limit are refused before they are sent, and their entries try other instances. The limit also lowers the slots that the daemon reports to those that requests use at that rate, so that the plan sheds at the entries and the selection of instances prefers others; without that, entries would try the limited server again and again. Calls of admitted work wait for up to a quarter of their time. Entries learn the limit with each reply and pass it on when they connect again, so that a restarted daemon has it before the first request. These bytes are appended to messages, as earlier builds ignore them.

--- a/src/decision/mesh/instance_selector.rs
+++ b/src/decision/mesh/instance_selector.rs
@@ -50,6 +50,13 @@
 /// full.
 const BUSY_TIME: Duration = Duration::from_millis(60);
 
+/// Part of the mean time between the requests of one daemon, if all share a named limit evenly, for
+/// which an instance is tried last after it refused a request.
+const LIMITED_GAP_SHARE: f64 = 0.5;
+
+/// Longest time for which an instance with a named limit is tried last.
+const MAX_LIMITED_TIME: Duration = Duration::from_secs(1);
+
 /// Weight of a new result in the failure rate of an instance.
 const FAILURE_WEIGHT: f64 = 0.1;
 
@@ -129,6 +136,8 @@
     ejected_until: Option<Instant>,
     busy_until: Option<Instant>,
     leaving_until: Option<Instant>,
+    /// Limit that the backend server names, in requests per second.
+    named_rate: Option<f64>,
     is_unreachable: bool,
     last_seen: Option<Instant>,
     warm_up_until: Instant,
@@ -215,6 +224,7 @@
                         state.failure_rate = FailureRate::default();
                         state.ejected_until = None;
                         state.leaving_until = None;
+                        state.named_rate = None;
                     }
                     state.entry = entry.clone();
                     state.warm_up_until = warm_up_until;
@@ -232,6 +242,7 @@
                         ejected_until: None,
                         busy_until: None,
                         leaving_until: None,
+                        named_rate: None,
                         is_unreachable: false,
                         last_seen: None,
                         warm_up_until,
@@ -348,6 +359,7 @@
 
     /// Records the result of an attempt.
     pub fn record_result(&mut self, key: InstanceKey, result: InstanceResult, now: Instant) {
+        let daemons = self.instances.len();
         let Some(state) = self.instances.get_mut(key) else {
             return;
         };
@@ -358,7 +370,7 @@
                 state.failures = 0;
                 state.ejected_until = None;
             }
-            InstanceResult::Busy => state.busy_until = Some(now + BUSY_TIME),
+            InstanceResult::Busy => state.busy_until = Some(now + state.busy_time(daemons)),
             InstanceResult::Leaving => state.leaving_until = Some(now + LEAVING_TIME),
             InstanceResult::Failed => {
                 state.failure_rate.record(true, now);
@@ -392,6 +404,25 @@
         }
     }
 
+    /// Records the limit that the backend server of an instance names, in requests per second.
+    pub fn record_limit(&mut self, key: InstanceKey, rate: Option<f64>) {
+        if let Some(state) = self.instances.get_mut(key) {
+            state.named_rate = rate;
+        }
+    }
+
+    /// Returns the id and the named limit of the instance on a machine. With several, for example
+    /// because an entry has not expired yet, it is the one that names a limit.
+    pub fn named_limit(&self, ip: std::net::IpAddr) -> Option<(&SmolStr, f64)> {
+        let mut states = self.instances.values();
+        states.find_map(|state| {
+            let rate = state
+                .named_rate
+                .filter(|_| state.entry.address.ip() == ip)?;
+            Some((&state.id, rate))
+        })
+    }
+
     /// Sets the interval at which daemons send their load. A daemon that sent load before and
     /// then misses several messages is probably cut off.
     pub fn set_load_interval(&mut self, interval: Duration) {
@@ -471,10 +502,28 @@
     fn is_full(&self, now: Instant) -> bool {
         let limit = self
             .fresh_report(now)
-            .map_or(self.entry.slots, |report| report.limit);
+            .map_or(self.usable_slots(), |report| report.limit);
         self.load(now) >= limit
     }
 
+    /// Returns the slots that can be used: those that the instance publishes or, while its backend
+    /// server names a limit, those of its last report.
+    fn usable_slots(&self) -> u32 {
+        let report = self.report.filter(|_| self.named_rate.is_some());
+        report.map_or(self.entry.slots, |(report, _)| report.limit)
+    }
+
+    /// Returns how long the instance is tried last after it refused a request. Under a limit it is
+    /// about the time until the next request that falls to this daemon.
+    fn busy_time(&self, daemons: usize) -> Duration {
+        let Some(rate) = self.named_rate else {
+            return BUSY_TIME;
+        };
+        let gap_s = daemons as f64 / rate * LIMITED_GAP_SHARE;
+        let gap = Duration::try_from_secs_f64(gap_s).unwrap_or(MAX_LIMITED_TIME);
+        gap.clamp(BUSY_TIME, MAX_LIMITED_TIME)
+    }
+
     fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
         let (report, at) = self.report?;
         (now.saturating_duration_since(at) < REPORT_LIFETIME).then_some(report)
@@ -487,7 +536,7 @@
 
     /// Returns the estimated requests at the instance as a share of its slots.
     fn utilisation(&self, now: Instant) -> f64 {
-        f64::from(self.load(now)) / f64::from(self.entry.slots.max(1))
+        f64::from(self.load(now)) / f64::from(self.usable_slots().max(1))
     }
 
     /// Returns the expected time until the response in seconds.
@@ -497,7 +546,7 @@
         if mean.is_none() && now < self.warm_up_until {
             time *= WARM_UP_FACTOR;
         }
-        let slots = f64::from(self.entry.slots.max(1));
+        let slots = f64::from(self.usable_slots().max(1));
         let load = f64::from(self.load(now));
         // A request gets a free slot at once. A small penalty on the utilisation distributes the
         // load among equal instances; when all slots are in use, requests wait.
--- a/src/decision/mesh/named_limit.rs
+++ b/src/decision/mesh/named_limit.rs
@@ -5,6 +5,14 @@
 /// Largest rate that a backend server can name, in requests per second.
 const MAX_RATE: f64 = 1e6;
 
+/// Smallest rate at which requests are sent, in requests per second, so that a withdrawal is noticed
+/// of a limit of 0.
+const MIN_RATE: f64 = 0.25;
+
+/// Time by which requests may start earlier than evenly spaced ones, so that a short burst does not
+/// leave the rate unused.
+const BURST_TIME: Duration = Duration::from_millis(500);
+
 /// The rate in a response of a backend server cannot be used.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
 pub enum LimitError {
@@ -49,3 +57,71 @@
         Ok(Some(Self { rate }))
     }
 }
+
+/// Limit of one backend server, with the times at which further requests may start.
+///
+/// All requests to the server pass the daemon beside it, so that it keeps the limit for the whole
+/// fleet.
+#[derive(Debug, Default)]
+pub struct LimitPacer {
+    limit: Option<NamedLimit>,
+    /// Whether a response since the start of this daemon or of the server told the limit.
+    is_observed: bool,
+    /// Time at which the next request would start if all were evenly spaced.
+    next_start: Option<Instant>,
+}
+
+impl LimitPacer {
+    /// Returns the limit in force.
+    pub fn limit(&self) -> Option<NamedLimit> {
+        self.limit
+    }
+
+    /// Applies the limit that a response names, or `None` if it names none; returns the previous
+    /// one.
+    pub fn observe(&mut self, limit: Option<NamedLimit>) -> Option<NamedLimit> {
+        self.is_observed = true;
+        std::mem::replace(&mut self.limit, limit)
+    }
+
+    /// Applies a limit that a peer passed on before this daemon was restarted; returns whether it is
+    /// in force now. A response of the server is more recent than anything that peers know.
+    pub fn adopt(&mut self, limit: NamedLimit) -> bool {
+        let is_lower = self.limit.is_none_or(|current| limit < current);
+        if self.is_observed || !is_lower {
+            return false;
+        }
+        self.limit = Some(limit);
+        true
+    }
+
+    /// Forgets the limit, since another server runs now.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Reserves a start within `max_wait` and returns its time; returns `None` if the limit leaves
+    /// no start by then.
+    pub fn reserve(&mut self, max_wait: Duration, now: Instant) -> Option<Instant> {
+        let Some(limit) = self.limit else {
+            self.next_start = None;
+            return Some(now);
+        };
+        let even_start = self.next_start.map_or(now, |at| at.max(now));
+        let start = even_start
+            .checked_sub(BURST_TIME)
+            .map_or(now, |at| at.max(now));
+        if start > now + max_wait {
+            return None;
+        }
+        let interval = Duration::from_secs_f64(1.0 / limit.rate.max(MIN_RATE));
+        self.next_start = Some(even_start + interval);
+        Some(start)
+    }
+}
+
+/// Returns the slots that requests use at a rate, at least one and at most `slots`.
+pub fn usable_slots(limit: NamedLimit, mean_run_time: Duration, slots: u32) -> u32 {
+    let used = (limit.rate * mean_run_time.as_secs_f64()).ceil();
+    (used as u32).clamp(1, slots.max(1))
+}
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -410,6 +410,7 @@
         let now = self.state.clock.now();
         let mut selector = self.state.selector.lock();
         selector.record_report(instance.key, reply.load, time, now);
+        selector.record_limit(instance.key, reply.notes.named_rate);
     }
 
     fn call_frame(
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -9,8 +9,8 @@
         mesh::{
             call_counts::{CallCounts, RunKey},
             instance_selector::LoadReport,
-            load_summary::LoadSummary,
-            named_limit::NamedLimit,
+            load_summary::{LoadSummary, RouteRuns},
+            named_limit::{LimitPacer, NamedLimit, usable_slots},
             service_times::ServiceTimes,
         },
         profile::service_profile::AdmissionLimits,
@@ -26,7 +26,7 @@
         backend_pool::BackendPool,
         context_headers::ContextHeaders,
         peer_frame::{
-            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult,
+            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult, ServerNotes,
             UnknownReason,
         },
     },
@@ -63,6 +63,10 @@
 /// earlier; this bound concerns only requests with a long deadline.
 const QUEUE_WAIT_MS: u32 = 2_000;
 
+/// Divisor of the remaining time of a nested call that gives its longest wait for a limit that the
+/// backend server names.
+const NESTED_LIMIT_WAIT_DIVISOR: u32 = 4;
+
 /// Runs requests at the local backend server and limits their concurrency to its slots.
 pub struct Executor {
     service: SmolStr,
@@ -74,7 +78,9 @@
     service_times: Mutex<ServiceTimes>,
     call_counts: Mutex<CallCounts>,
     identity: Mutex<BackendIdentity>,
-    named_limit: Mutex<Option<NamedLimit>>,
+    limit_pacer: Mutex<LimitPacer>,
+    mean_run_time: Mutex<Duration>,
+    limited_count: AtomicU64,
     has_invalid_limit: AtomicBool,
     run_count: AtomicU64,
     is_draining: AtomicBool,
@@ -102,16 +108,20 @@
             service_times: Mutex::default(),
             call_counts: Mutex::default(),
             identity: Mutex::default(),
-            named_limit: Mutex::default(),
+            limit_pacer: Mutex::default(),
+            mean_run_time: Mutex::default(),
+            limited_count: AtomicU64::new(0),
             has_invalid_limit: AtomicBool::new(false),
             run_count: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
         }
     }
 
-    /// Applies the published id and slots of the local backend server.
-    pub fn set_published_instance(&self, id: &SmolStr, slots: u32) {
-        self.identity.lock().set_published(id);
+    /// Applies the published id, start time and slots of the local backend server.
+    pub fn set_published_instance(&self, id: &SmolStr, started_ms: Option<u64>, slots: u32) {
+        if self.identity.lock().set_published(id, started_ms) {
+            self.reset_server_state();
+        }
         self.gate.set_limits(gate_limits(slots));
     }
 
@@ -132,20 +142,53 @@
         self.gate.load().queued > 0
     }
 
-    /// Returns the load of the backend server.
+    /// Returns the load of the backend server. A limit that the server names leaves it only the slots
+    /// that requests use at that rate, so that the plan and the selection of peers keep within it.
     pub fn load(&self) -> LoadReport {
         let load = self.gate.load();
+        let named = self.limit_pacer.lock().limit();
+        let limit = named.map_or(load.limit, |named| {
+            usable_slots(named, *self.mean_run_time.lock(), load.limit)
+        });
         LoadReport {
             in_flight: load.in_flight,
             queued: load.queued as u32,
             queued_calls: load.queued_calls as u32,
-            limit: load.limit,
+            limit,
+        }
+    }
+
+    /// Forgets what the previous backend server at this address said of itself.
+    fn reset_server_state(&self) {
+        self.limit_pacer.lock().reset();
+    }
+
+    /// Returns what the backend server says of itself, for the senders of its requests.
+    fn server_notes(&self) -> ServerNotes {
+        ServerNotes {
+            instance: self.identity.lock().current.clone().unwrap_or_default(),
+            named_rate: self.named_rate(),
+        }
+    }
+
+    /// Applies what a peer knew of the backend server before this daemon was restarted.
+    pub fn adopt_notes(&self, notes: &ServerNotes) {
+        let is_same = {
+            let identity = self.identity.lock();
+            let current = identity.current.as_ref();
+            current.is_none_or(|current| *current == notes.instance)
+        };
+        let Some(rate) = notes.named_rate.filter(|rate| is_same && *rate >= 0.0) else {
+            return;
+        };
+        if self.limit_pacer.lock().adopt(NamedLimit { rate }) {
+            log::info!(rate = rate; "executor: A peer knows a limit of the backend server.");
         }
     }
 
     /// Returns the limit that the backend server names, in requests per second.
     pub fn named_rate(&self) -> Option<f64> {
-        self.named_limit.lock().map(|limit| limit.rate)
+        self.limit_pacer.lock().limit().map(|limit| limit.rate)
     }
 
     /// Returns the number of requests that were sent to the backend server.
@@ -153,17 +196,24 @@
         self.run_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of requests that were refused because of a limit that the server names.
+    pub fn limited_count(&self) -> u64 {
+        self.limited_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the load summary for the other daemons.
     pub fn load_summary(&self, daemon_id: u64, ip: IpAddr) -> LoadSummary {
         let now = self.clock.now();
         let counts = self.call_counts.lock();
+        let runs = counts.runs(now);
+        *self.mean_run_time.lock() = mean_run_time(&runs);
         LoadSummary {
             daemon_id,
             ip,
             service: self.service.clone(),
             load: self.load(),
             entered_requests: counts.entered_requests(now),
-            runs: counts.runs(now),
+            runs,
             calls: counts.calls(now),
         }
     }
@@ -196,6 +246,7 @@
             result,
             load: self.load(),
             service_time_us: mean.map(|mean| mean.as_micros() as u64),
+            notes: self.server_notes(),
         }
     }
 
@@ -206,6 +257,7 @@
             result: RunResult::NotRun(reason),
             load: self.load(),
             service_time_us: None,
+            notes: self.server_notes(),
         }
     }
 
@@ -238,6 +290,10 @@
             }
             Err(_) => return RunResult::NotRun(NotRunReason::Busy),
         };
+        if !self.wait_for_start(call, deadline).await {
+            permit.finish(WorkResult::Refused);
+            return RunResult::NotRun(NotRunReason::Busy);
+        }
         let connection = match self.pool.take(call.is_at_most_once, self.clock.now()).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -292,6 +348,30 @@
         result
     }
 
+    /// Waits until the limit that the backend server names allows another request; returns false if
+    /// it does not in time. A nested call waits longer, since refusing it wastes the work on its root
+    /// request.
+    async fn wait_for_start(&self, call: &CallFrame, deadline: Instant) -> bool {
+        let now = self.clock.now();
+        let max_wait = if call.class == NESTED_CLASS {
+            deadline.saturating_duration_since(now) / NESTED_LIMIT_WAIT_DIVISOR
+        } else {
+            Duration::from_millis(call.max_wait_ms.into())
+        };
+        let Some(start) = self.limit_pacer.lock().reserve(max_wait, now) else {
+            self.limited_count.fetch_add(1, Ordering::Relaxed);
+            log::debug!(
+                "executor: Refused {}: the limit of the backend server is reached.",
+                call.attempt_id.escape_ascii()
+            );
+            return false;
+        };
+        if start > now {
+            tokio::time::sleep_until(start.into()).await;
+        }
+        true
+    }
+
     /// Records the limit that a response names. Only a signed response without one withdraws it.
     fn observe_limit(&self, headers: &HeaderList, is_signed: bool) {
         let limit = match NamedLimit::decode(headers.all(self.headers.rate_limit)) {
@@ -305,7 +385,7 @@
             }
         };
         self.has_invalid_limit.store(false, Ordering::Relaxed);
-        let previous = std::mem::replace(&mut *self.named_limit.lock(), limit);
+        let previous = self.limit_pacer.lock().observe(limit);
         if previous == limit {
             return;
         }
@@ -410,7 +490,9 @@
             // The backend server has restarted, and its new id is not published yet.
             if let Some(id) = headers.text(self.headers.instance) {
                 log::info!("executor: The backend server reports the new id {id}.");
-                self.identity.lock().set_reported(id);
+                if self.identity.lock().set_reported(id) {
+                    self.reset_server_state();
+                }
             }
             return RunResult::NotRun(NotRunReason::OtherInstance);
         }
@@ -452,21 +534,30 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 struct BackendIdentity {
     published: Option<SmolStr>,
+    started_ms: Option<u64>,
     current: Option<SmolStr>,
 }
 
 impl BackendIdentity {
-    /// Applies the published id. An unchanged one does not replace the id that the server reported.
-    fn set_published(&mut self, id: &SmolStr) {
-        if self.published.as_ref() != Some(id) {
-            self.published = Some(id.clone());
-            self.current = Some(id.clone());
+    /// Applies the published id and start time; returns whether another server runs now. An unchanged
+    /// id does not replace the one that the server reported.
+    fn set_published(&mut self, id: &SmolStr, started_ms: Option<u64>) -> bool {
+        let is_published = self.published.as_ref() == Some(id);
+        let previous_start = std::mem::replace(&mut self.started_ms, started_ms);
+        let is_restarted = previous_start
+            .is_some_and(|previous| started_ms.is_some_and(|started_ms| started_ms != previous));
+        if is_published {
+            return is_restarted;
         }
+        self.published = Some(id.clone());
+        let previous = self.current.replace(id.clone());
+        previous.is_some_and(|previous| previous != *id)
     }
 
-    /// Applies the id that the backend server reported.
-    fn set_reported(&mut self, id: &str) {
-        self.current = Some(id.into());
+    /// Applies the id that the backend server reported; returns whether it is another one.
+    fn set_reported(&mut self, id: &str) -> bool {
+        let previous = self.current.replace(id.into());
+        previous.is_some_and(|previous| previous != *id)
     }
 
     /// Returns the id to expect; `requested` is the id in the request.
@@ -501,6 +592,13 @@
     }
 }
 
+/// Returns the mean time of the runs of all routes; zero without any.
+fn mean_run_time(runs: &[RouteRuns]) -> Duration {
+    let count: f32 = runs.iter().map(|run| run.count).sum();
+    let time_s: f32 = runs.iter().map(|run| run.count * run.mean_time_s).sum();
+    Duration::try_from_secs_f32(time_s / count).unwrap_or_default()
+}
+
 /// Returns the limits of the gate in front of a backend server with a number of slots.
 pub fn gate_limits(slots: u32) -> AdmissionLimits {
     let concurrency = ((f64::from(slots) * MAX_SLOT_SHARE) as u32).max(1);
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -24,7 +24,7 @@
         executor::Executor,
         mesh_metrics::{MeshMetrics, ViewReport},
         mesh_settings::MeshSettings,
-        peer_frame::{HelloFrame, LoadFrame},
+        peer_frame::{HelloFrame, LoadFrame, ServerNotes},
         store_contact::StoreContact,
         store_interface::{StoreFormat, StoreItem},
     },
@@ -291,9 +291,20 @@
             config_version: version,
             member_count: self.member_count() as u32,
             connection_number: 0,
+            notes: ServerNotes::default(),
         }
     }
 
+    /// Returns what this daemon knows of the backend server on a machine.
+    pub fn server_notes(&self, ip: IpAddr) -> ServerNotes {
+        let selector = self.selector.lock();
+        let named_limit = selector.named_limit(ip);
+        named_limit.map_or_else(ServerNotes::default, |(id, rate)| ServerNotes {
+            instance: id.clone(),
+            named_rate: Some(rate),
+        })
+    }
+
     /// Writes all metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
         let view = ViewReport {
@@ -307,6 +318,7 @@
             oldest_summary: self.plan().oldest_summary(),
             named_rate: self.executor.named_rate(),
             runs: self.executor.run_count(),
+            limited_runs: self.executor.limited_count(),
         };
         self.metrics.text(self.executor.load(), &view)
     }
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -278,7 +278,10 @@
             log::info!("members: The entry of the local backend server {change}.");
         }
         match local_member {
-            Some((id, entry)) => self.executor.set_published_instance(id, entry.slots),
+            Some((id, entry)) => {
+                self.executor
+                    .set_published_instance(id, entry.started_ms, entry.slots);
+            }
             None => {
                 let mut members = view.members();
                 let same_service =
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -41,6 +41,8 @@
     pub named_rate: Option<f64>,
     /// Requests that were sent to the local backend server.
     pub runs: u64,
+    /// Requests that were refused because of that limit.
+    pub limited_runs: u64,
 }
 
 type Labels = Vec<(&'static str, String)>;
@@ -69,6 +71,7 @@
     plan_summary_age: Gauge<f64, AtomicU64>,
     named_limit: Family<Labels, Gauge<f64, AtomicU64>>,
     runs: Counter,
+    limited_runs: Counter,
 }
 
 impl MeshMetrics {
@@ -97,6 +100,7 @@
             plan_summary_age: Gauge::default(),
             named_limit: Family::default(),
             runs: Counter::default(),
+            limited_runs: Counter::default(),
         };
         metrics.register();
         metrics
@@ -157,6 +161,11 @@
         );
         let runs = self.runs.clone();
         registry.register("runs", "Requests sent to the backend server", runs);
+        registry.register(
+            "limited_runs",
+            "Requests refused because the limit of the backend server was reached",
+            self.limited_runs.clone(),
+        );
         let gauges = [
             (
                 "store_reading",
@@ -250,6 +259,8 @@
             self.named_limit.get_or_create(&Labels::new()).set(rate);
         }
         self.runs.inc_by(view.runs.saturating_sub(self.runs.get()));
+        self.limited_runs
+            .inc_by(view.limited_runs.saturating_sub(self.limited_runs.get()));
         let mut output = String::new();
         // Writing to a string does not fail.
         let _ = text::encode(&mut output, &self.registry);
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -100,6 +100,26 @@
     /// Counter of the sender's connections to this peer, to detect late messages of an earlier
     /// connection. Listeners send 0.
     pub connection_number: u32,
+    /// What the sender knows of the backend server beside the receiver. Appended to the message.
+    #[serde(skip)]
+    pub notes: ServerNotes,
+}
+
+/// What a backend server says of itself in its responses. Daemons of earlier builds ignore these
+/// bytes, which are appended to messages that they know.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct ServerNotes {
+    /// Instance id of the backend server; empty if it is not known.
+    pub instance: SmolStr,
+    /// Limit that the server names, in requests per second.
+    pub named_rate: Option<f64>,
+}
+
+impl ServerNotes {
+    /// Returns whether the server says nothing that its peers have to know.
+    fn is_empty(&self) -> bool {
+        self.named_rate.is_none()
+    }
 }
 
 /// Request for a run.
@@ -150,6 +170,9 @@
     pub load: LoadReport,
     /// Mean service time of the route at the instance, in microseconds.
     pub service_time_us: Option<u64>,
+    /// What the backend server says of itself. Appended to the message.
+    #[serde(skip)]
+    pub notes: ServerNotes,
 }
 
 /// Result of a run.
@@ -209,7 +232,11 @@
 impl PeerFrame {
     /// Appends the message to a buffer.
     pub fn encode(&self, buffer: &mut BytesMut) {
-        match postcard::to_stdvec(self) {
+        let encoded = postcard::to_stdvec(self).and_then(|bytes| match self.notes() {
+            Some(notes) => postcard::to_extend(notes, bytes),
+            None => Ok(bytes),
+        });
+        match encoded {
             Ok(bytes) => {
                 buffer.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
                 buffer.extend_from_slice(&bytes);
@@ -232,7 +259,32 @@
         }
         buffer.advance(LENGTH_BYTES);
         let bytes = buffer.split_to(length);
-        Ok(Some(postcard::from_bytes(&bytes)?))
+        let (mut frame, appended) = postcard::take_from_bytes::<Self>(&bytes)?;
+        if !appended.is_empty()
+            && let Some(notes) = frame.notes_mut()
+        {
+            *notes = postcard::from_bytes(appended)?;
+        }
+        Ok(Some(frame))
+    }
+
+    /// Returns the notes that are appended to the message, if there are any.
+    fn notes(&self) -> Option<&ServerNotes> {
+        let notes = match self {
+            Self::Hello(hello) => &hello.notes,
+            Self::Reply(reply) => &reply.notes,
+            _ => return None,
+        };
+        (!notes.is_empty()).then_some(notes)
+    }
+
+    /// Returns the place of the notes in a message that was just decoded.
+    fn notes_mut(&mut self) -> Option<&mut ServerNotes> {
+        match self {
+            Self::Hello(hello) => Some(&mut hello.notes),
+            Self::Reply(reply) => Arc::get_mut(reply).map(|reply| &mut reply.notes),
+            _ => None,
+        }
     }
 }
 
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -52,8 +52,8 @@
     fn on_silence(&self, address: SocketAddr);
     /// The peer sent its load over the connection of this daemon, which is no member in its view.
     fn on_load(&self, address: SocketAddr, load: &LoadFrame);
-    /// Returns the handshake of this daemon.
-    fn hello(&self) -> HelloFrame;
+    /// Returns the handshake of this daemon for the peer at an address.
+    fn hello(&self, address: SocketAddr) -> HelloFrame;
     /// Returns the current time.
     fn now(&self) -> Instant;
 }
@@ -301,7 +301,7 @@
         let mut output = BytesMut::new();
         let hello = HelloFrame {
             connection_number: self.connection_number,
-            ..self.observer.hello()
+            ..self.observer.hello(self.link.address)
         };
         PeerFrame::Hello(hello).encode(&mut output);
         let numbers = self.link.sent_run_numbers();
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -185,8 +185,11 @@
         self.receive_load(address.ip(), load);
     }
 
-    fn hello(&self) -> HelloFrame {
-        self.state.hello()
+    fn hello(&self, address: SocketAddr) -> HelloFrame {
+        HelloFrame {
+            notes: self.state.server_notes(address.ip()),
+            ..self.state.hello()
+        }
     }
 
     fn now(&self) -> Instant {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -292,6 +292,7 @@
             return false;
         }
         self.sender_id = Some(hello.daemon_id);
+        self.listener.state.executor.adopt_notes(&hello.notes);
         let now = self.listener.state.clock.now();
         let mut selector = self.listener.state.selector.lock();
         selector.set_leaving(hello.ip, hello.is_leaving, now);
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -8,7 +8,8 @@
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
         peer_frame::{
-            CallFrame, HelloFrame, LoadFrame, NESTED_CLASS, PeerFrame, RunResult, StoreUpdateFrame,
+            CallFrame, HelloFrame, LoadFrame, NESTED_CLASS, PeerFrame, RunResult, ServerNotes,
+            StoreUpdateFrame,
         },
         peer_link::{CallResult, LinkObserver, PeerLink},
         peer_links::PeerLinks,
@@ -61,7 +62,7 @@
             .send_modify(|ids| ids.push(load.summary.daemon_id));
     }
 
-    fn hello(&self) -> HelloFrame {
+    fn hello(&self, _: SocketAddr) -> HelloFrame {
         HelloFrame {
             daemon_id: 5,
             ip: loopback(9, 0).ip(),
@@ -69,6 +70,7 @@
             config_version: 0,
             member_count: 0,
             connection_number: 0,
+            notes: ServerNotes::default(),
         }
     }
 
@@ -361,7 +363,7 @@
     let hello = |connection_number| {
         let hello = HelloFrame {
             connection_number,
-            ..FrameObserver::default().hello()
+            ..FrameObserver::default().hello(loopback(9, 0))
         };
         PeerFrame::Hello(hello)
     };
@@ -410,7 +412,7 @@
         let mut bytes = BytesMut::new();
         let hello = HelloFrame {
             connection_number,
-            ..FrameObserver::default().hello()
+            ..FrameObserver::default().hello(loopback(9, 0))
         };
         PeerFrame::Hello(hello).encode(&mut bytes);
         stream
--- a/tests/mesh/start_sync.rs
+++ b/tests/mesh/start_sync.rs
@@ -49,6 +49,7 @@
         config_version: 0,
         member_count: 0,
         connection_number: 1,
+        notes: Default::default(),
     };
     assert!(links.senders.register(&hello, &outbox, &Arc::default()));
     inbox
