Add the failing test of a server that announces in its responses that it leaves

The same cause as for the limit: the header is new, and daemons only pass it on. The server gets 100 of the next 100 requests.

--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod fleet_view;
 mod http1_framing;
 mod instance_selector;
+mod leaving_servers;
 mod line_queue;
 mod link_liveness;
 mod load_schedule;
