Send nothing more to a server that announces that it leaves

Callers' requests reached servers that had announced in their responses that they leave. Cause: as for the limit, the header is new and daemons only passed it on; they learnt of the leaving from the store alone, which may lag.

The daemon beside the server refuses further runs as leaving from that response on, tells its peers at once with the message that a stopping daemon sends, and takes its slots out of the plan. Peers keep what they learn until the id or the start time of the server changes, so that no older message, handshake or entry brings the server back, and tell it to a restarted daemon in their handshake.

--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -17,6 +17,7 @@
 pub mod response_limit;
 pub mod route_table;
 pub mod run_table;
+pub mod server_notes;
 pub mod service_times;
 pub mod shutdown_wait;
 pub mod traffic_split;
--- a/src/decision/mesh/instance_selector.rs
+++ b/src/decision/mesh/instance_selector.rs
@@ -5,6 +5,7 @@
     decision::mesh::{
         fleet_sums::PeerReach,
         fleet_view::{BackendEntry, FleetView, ServingState},
+        server_notes::ServerNotes,
         service_times::ServiceTimes,
     },
 };
@@ -138,6 +139,8 @@
     leaving_until: Option<Instant>,
     /// Limit that the backend server names, in requests per second.
     named_rate: Option<f64>,
+    /// Whether the backend server has announced that it leaves.
+    is_server_leaving: bool,
     is_unreachable: bool,
     last_seen: Option<Instant>,
     warm_up_until: Instant,
@@ -225,6 +228,7 @@
                         state.ejected_until = None;
                         state.leaving_until = None;
                         state.named_rate = None;
+                        state.is_server_leaving = false;
                     }
                     state.entry = entry.clone();
                     state.warm_up_until = warm_up_until;
@@ -243,6 +247,7 @@
                         busy_until: None,
                         leaving_until: None,
                         named_rate: None,
+                        is_server_leaving: false,
                         is_unreachable: false,
                         last_seen: None,
                         warm_up_until,
@@ -404,23 +409,36 @@
         }
     }
 
-    /// Records the limit that the backend server of an instance names, in requests per second.
-    pub fn record_limit(&mut self, key: InstanceKey, rate: Option<f64>) {
-        if let Some(state) = self.instances.get_mut(key) {
-            state.named_rate = rate;
+    /// Records what the backend server of an instance says of itself. Once it has announced that it
+    /// leaves, it leaves, whatever later messages say.
+    pub fn record_notes(&mut self, key: InstanceKey, notes: &ServerNotes) {
+        let Some(state) = self.instances.get_mut(key) else {
+            return;
+        };
+        state.named_rate = notes.named_rate;
+        state.is_server_leaving |= notes.is_leaving && notes.instance == state.id;
+    }
+
+    /// Records the leaving of the backend server that runs on a machine.
+    pub fn record_leaving(&mut self, ip: std::net::IpAddr, notes: &ServerNotes) {
+        for state in self.instances.values_mut() {
+            if state.entry.address.ip() == ip && state.id == notes.instance {
+                state.is_server_leaving |= notes.is_leaving;
+            }
         }
     }
 
-    /// Returns the id and the named limit of the instance on a machine. With several, for example
-    /// because an entry has not expired yet, it is the one that names a limit.
-    pub fn named_limit(&self, ip: std::net::IpAddr) -> Option<(&SmolStr, f64)> {
-        let mut states = self.instances.values();
-        states.find_map(|state| {
-            let rate = state
-                .named_rate
-                .filter(|_| state.entry.address.ip() == ip)?;
-            Some((&state.id, rate))
-        })
+    /// Returns what the backend server on a machine said of itself. With several entries, for
+    /// example because one has not expired yet, they are those of a server that said something.
+    pub fn server_notes(&self, ip: std::net::IpAddr) -> ServerNotes {
+        let states = self.instances.values();
+        let local_states = states.filter(|state| state.entry.address.ip() == ip);
+        let mut notes = local_states.map(|state| ServerNotes {
+            instance: state.id.clone(),
+            named_rate: state.named_rate,
+            is_leaving: state.is_server_leaving,
+        });
+        notes.find(|notes| !notes.is_empty()).unwrap_or_default()
     }
 
     /// Sets the interval at which daemons send their load. A daemon that sent load before and
@@ -479,6 +497,7 @@
     fn is_serving(&self, now: Instant) -> bool {
         self.entry.state == ServingState::Ready
             && !self.is_unreachable
+            && !self.is_server_leaving
             && self.leaving_until.is_none_or(|until| until <= now)
     }
 
--- a/src/mesh/context_headers.rs
+++ b/src/mesh/context_headers.rs
@@ -19,6 +19,8 @@
     pub retry_after_s: &'static str,
     /// Requests per second that the backend server accepts from all daemons together.
     pub rate_limit: &'static str,
+    /// Marks the responses of a backend server that leaves, with the value 1.
+    pub leaving: &'static str,
     /// Service of the machine on which the request originates.
     pub caller_service: &'static str,
 }
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -410,7 +410,7 @@
         let now = self.state.clock.now();
         let mut selector = self.state.selector.lock();
         selector.record_report(instance.key, reply.load, time, now);
-        selector.record_limit(instance.key, reply.notes.named_rate);
+        selector.record_notes(instance.key, &reply.notes);
     }
 
     fn call_frame(
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -11,6 +11,7 @@
             instance_selector::LoadReport,
             load_summary::{LoadSummary, RouteRuns},
             named_limit::{LimitPacer, NamedLimit, usable_slots},
+            server_notes::ServerNotes,
             service_times::ServiceTimes,
         },
         profile::service_profile::AdmissionLimits,
@@ -26,7 +27,7 @@
         backend_pool::BackendPool,
         context_headers::ContextHeaders,
         peer_frame::{
-            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult, ServerNotes,
+            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult,
             UnknownReason,
         },
     },
@@ -36,7 +37,7 @@
     net::IpAddr,
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
-use tokio::time::timeout_at;
+use tokio::{sync::Notify, time::timeout_at};
 
 /// Largest body of a response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
@@ -63,6 +64,9 @@
 /// earlier; this bound concerns only requests with a long deadline.
 const QUEUE_WAIT_MS: u32 = 2_000;
 
+/// Value of the header with which a backend server announces that it leaves.
+const LEAVING_VALUE: &str = "1";
+
 /// Divisor of the remaining time of a nested call that gives its longest wait for a limit that the
 /// backend server names.
 const NESTED_LIMIT_WAIT_DIVISOR: u32 = 4;
@@ -84,6 +88,8 @@
     has_invalid_limit: AtomicBool,
     run_count: AtomicU64,
     is_draining: AtomicBool,
+    is_server_leaving: AtomicBool,
+    leaving_notice: Notify,
 }
 
 impl Executor {
@@ -114,6 +120,8 @@
             has_invalid_limit: AtomicBool::new(false),
             run_count: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
+            is_server_leaving: AtomicBool::new(false),
+            leaving_notice: Notify::new(),
         }
     }
 
@@ -161,6 +169,25 @@
     /// Forgets what the previous backend server at this address said of itself.
     fn reset_server_state(&self) {
         self.limit_pacer.lock().reset();
+        self.is_server_leaving.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether the backend server has announced that it leaves.
+    pub fn is_server_leaving(&self) -> bool {
+        self.is_server_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the backend server announces that it leaves; returns what it says of itself.
+    pub async fn server_leaving(&self) -> ServerNotes {
+        self.leaving_notice.notified().await;
+        self.server_notes()
+    }
+
+    fn record_leaving(&self, source: &'static str) {
+        if !self.is_server_leaving.swap(true, Ordering::Relaxed) {
+            log::info!(source = source; "executor: The backend server leaves.");
+            self.leaving_notice.notify_one();
+        }
     }
 
     /// Returns what the backend server says of itself, for the senders of its requests.
@@ -168,20 +195,22 @@
         ServerNotes {
             instance: self.identity.lock().current.clone().unwrap_or_default(),
             named_rate: self.named_rate(),
+            is_leaving: self.is_server_leaving(),
         }
     }
 
     /// Applies what a peer knew of the backend server before this daemon was restarted.
     pub fn adopt_notes(&self, notes: &ServerNotes) {
-        let is_same = {
-            let identity = self.identity.lock();
-            let current = identity.current.as_ref();
-            current.is_none_or(|current| *current == notes.instance)
-        };
-        let Some(rate) = notes.named_rate.filter(|rate| is_same && *rate >= 0.0) else {
+        if notes.is_empty() || !self.identity.lock().adopt(&notes.instance) {
             return;
-        };
-        if self.limit_pacer.lock().adopt(NamedLimit { rate }) {
+        }
+        if notes.is_leaving {
+            self.record_leaving("peer");
+        }
+        let rate = notes.named_rate.filter(|rate| *rate >= 0.0);
+        if let Some(rate) = rate
+            && self.limit_pacer.lock().adopt(NamedLimit { rate })
+        {
             log::info!(rate = rate; "executor: A peer knows a limit of the backend server.");
         }
     }
@@ -278,7 +307,7 @@
         if call.service != self.service {
             return RunResult::NotRun(NotRunReason::OtherInstance);
         }
-        if self.is_draining.load(Ordering::Relaxed) {
+        if self.is_draining.load(Ordering::Relaxed) || self.is_server_leaving() {
             return RunResult::NotRun(NotRunReason::Leaving);
         }
         let permit = match self.admit(call, deadline).await {
@@ -500,6 +529,9 @@
         let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
         if matches_attempt {
             self.observe_limit(headers, is_signed);
+            if headers.text(self.headers.leaving) == Some(LEAVING_VALUE) {
+                self.record_leaving("response");
+            }
         }
         if headers.get(self.headers.not_executed).is_some() {
             return RunResult::NotRun(NotRunReason::Refused);
@@ -560,6 +592,11 @@
         previous.is_some_and(|previous| previous != *id)
     }
 
+    /// Returns whether `id` is that of the current server; without a current one, it is from now on.
+    fn adopt(&mut self, id: &SmolStr) -> bool {
+        self.current.get_or_insert_with(|| id.clone()) == id
+    }
+
     /// Returns the id to expect; `requested` is the id in the request.
     fn expected(&self, requested: &SmolStr) -> SmolStr {
         self.current.as_ref().unwrap_or(requested).clone()
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -15,6 +15,7 @@
             load_schedule::regular_interval,
             reader_election::{ReaderElection, StartProgress, StoreStatus},
             route_table::RouteTable,
+            server_notes::ServerNotes,
             traffic_split::TrafficSplit,
             update_gap::UpdateGap,
         },
@@ -24,7 +25,7 @@
         executor::Executor,
         mesh_metrics::{MeshMetrics, ViewReport},
         mesh_settings::MeshSettings,
-        peer_frame::{HelloFrame, LoadFrame, ServerNotes},
+        peer_frame::{HelloFrame, LoadFrame},
         store_contact::StoreContact,
         store_interface::{StoreFormat, StoreItem},
     },
@@ -196,6 +197,14 @@
         self.executor.start_drain();
     }
 
+    /// Waits until the local backend server announces that it leaves, and takes it out of the
+    /// selection of this daemon.
+    pub async fn server_leaving(&self) {
+        let notes = self.executor.server_leaving().await;
+        let local_ip = self.settings.peer.ip();
+        self.selector.lock().record_leaving(local_ip, &notes);
+    }
+
     /// Applies the settings that can change while the daemon runs.
     pub fn reload(&self, settings: &MeshSettings) {
         self.retry_budget.lock().set_bounds(settings.budget);
@@ -287,7 +296,7 @@
         HelloFrame {
             daemon_id: self.daemon_id,
             ip: self.settings.peer.ip(),
-            is_leaving: self.is_leaving(),
+            is_leaving: self.is_leaving() || self.executor.is_server_leaving(),
             config_version: version,
             member_count: self.member_count() as u32,
             connection_number: 0,
@@ -295,16 +304,6 @@
         }
     }
 
-    /// Returns what this daemon knows of the backend server on a machine.
-    pub fn server_notes(&self, ip: IpAddr) -> ServerNotes {
-        let selector = self.selector.lock();
-        let named_limit = selector.named_limit(ip);
-        named_limit.map_or_else(ServerNotes::default, |(id, rate)| ServerNotes {
-            instance: id.clone(),
-            named_rate: Some(rate),
-        })
-    }
-
     /// Writes all metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
         let view = ViewReport {
@@ -319,6 +318,7 @@
             named_rate: self.executor.named_rate(),
             runs: self.executor.run_count(),
             limited_runs: self.executor.limited_count(),
+            is_server_leaving: self.executor.is_server_leaving(),
         };
         self.metrics.text(self.executor.load(), &view)
     }
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -131,6 +131,7 @@
         Arc::clone(&peer_listener),
         Arc::clone(&links),
     ));
+    tasks.spawn(announce_leaving(Arc::clone(&state), Arc::clone(&links)));
     tasks.spawn(send_load(Arc::clone(&state), Arc::clone(&links)));
     tasks.spawn(reload_settings(Arc::clone(&state), settings_path));
     for seed in &settings.seeds {
@@ -167,6 +168,15 @@
     }
 }
 
+/// Tells the peers when the local backend server announces that it leaves. Its entry in the store may
+/// say so later.
+async fn announce_leaving(state: Arc<FleetState>, links: Arc<PeerLinks>) {
+    loop {
+        state.server_leaving().await;
+        links.broadcast(&PeerFrame::Leaving);
+    }
+}
+
 /// Updates regularly whether this daemon is elected to read the store.
 async fn elect_readers(state: Arc<FleetState>, is_reader_sender: watch::Sender<bool>) {
     loop {
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -43,6 +43,8 @@
     pub runs: u64,
     /// Requests that were refused because of that limit.
     pub limited_runs: u64,
+    /// Whether the local backend server has announced that it leaves.
+    pub is_server_leaving: bool,
 }
 
 type Labels = Vec<(&'static str, String)>;
@@ -59,6 +61,7 @@
     silent_links: Counter,
     store_reading: Gauge,
     published: Gauge,
+    server_leaving: Gauge,
     store_response_age: Gauge<f64, AtomicU64>,
     in_flight: Gauge,
     queued: Gauge,
@@ -88,6 +91,7 @@
             silent_links: Counter::default(),
             store_reading: Gauge::default(),
             published: Gauge::default(),
+            server_leaving: Gauge::default(),
             store_response_age: Gauge::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
@@ -177,6 +181,11 @@
                 "Whether the store has an entry of the local backend server: 1 or 0",
                 &self.published,
             ),
+            (
+                "server_leaving",
+                "Whether the backend server has announced that it leaves: 1 or 0",
+                &self.server_leaving,
+            ),
             (
                 "runs_in_flight",
                 "Requests at the backend server",
@@ -249,6 +258,7 @@
         self.limit.set(load.limit.into());
         self.config_version.set(view.config_version as i64);
         self.members.set(view.members as i64);
+        self.server_leaving.set(view.is_server_leaving.into());
         self.published.set(view.is_published.into());
         self.store_readers.set(view.store_readers as i64);
         self.plan_daemons.set(view.plan_daemons as i64);
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -4,6 +4,7 @@
     common::*,
     decision::mesh::{
         instance_selector::LoadReport, load_summary::LoadSummary, reader_election::StoreStatus,
+        server_notes::ServerNotes,
     },
     mesh::store_interface::StoreItem,
 };
@@ -105,23 +106,6 @@
     pub notes: ServerNotes,
 }
 
-/// What a backend server says of itself in its responses. Daemons of earlier builds ignore these
-/// bytes, which are appended to messages that they know.
-#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
-pub struct ServerNotes {
-    /// Instance id of the backend server; empty if it is not known.
-    pub instance: SmolStr,
-    /// Limit that the server names, in requests per second.
-    pub named_rate: Option<f64>,
-}
-
-impl ServerNotes {
-    /// Returns whether the server says nothing that its peers have to know.
-    fn is_empty(&self) -> bool {
-        self.named_rate.is_none()
-    }
-}
-
 /// Request for a run.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct CallFrame {
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -187,7 +187,7 @@
 
     fn hello(&self, address: SocketAddr) -> HelloFrame {
         HelloFrame {
-            notes: self.state.server_notes(address.ip()),
+            notes: self.state.selector.lock().server_notes(address.ip()),
             ..self.state.hello()
         }
     }
--- a/src/platform/context_names.rs
+++ b/src/platform/context_names.rs
@@ -15,6 +15,7 @@
         not_executed: "Not-Executed",
         retry_after_s: "Retry-After",
         rate_limit: "Server-Limit",
+        leaving: "Server-Leaving",
         caller_service: "Caller-Service",
     }
 }
--- a/tests/mesh/leaving_servers.rs
+++ b/tests/mesh/leaving_servers.rs
@@ -1,6 +1,31 @@
 //! Backend servers that announce in their responses that they leave.
 
-use crate::end_to_end::{Fleet, request, send_request};
+use crate::{
+    end_to_end::{Fleet, request, send_request},
+    fleet_view::entry,
+    stand_ins::loopback,
+};
+use skylarkstream::{
+    decision::{
+        clock::{Clock, ManualClock},
+        mesh::{
+            fleet_view::{BackendEntry, FleetView, ServingState, VersionedEntry},
+            instance_selector::{InstanceSelector, SelectionRequest},
+            server_notes::ServerNotes,
+        },
+    },
+    mesh::executor::Executor,
+    platform::context_names::context_headers,
+};
+use std::{sync::Arc, time::Duration};
+
+fn leaving_notes(id: &str) -> ServerNotes {
+    ServerNotes {
+        instance: id.into(),
+        named_rate: None,
+        is_leaving: true,
+    }
+}
 
 /// Sends requests through both daemons in turn; returns how many of them succeeded.
 async fn send_requests(fleet: &Fleet, count: usize) -> usize {
@@ -32,3 +57,68 @@
     assert_eq!(send_requests(&fleet, REQUESTS).await, REQUESTS);
     assert_eq!(leaving.run_count(), announced_runs);
 }
+
+/// Guards against a server that is used again although it has announced that it leaves: after an
+/// older message, a handshake or an entry that still calls it ready.
+#[test]
+fn leaving_server_returns_only_after_a_restart() {
+    let clock = ManualClock::new();
+    let mut view = FleetView::new();
+    let mut selector = InstanceSelector::new("dc-1".into(), 7);
+    let mut publish = |selector: &mut InstanceSelector, revision, started_ms| {
+        let value = BackendEntry {
+            started_ms: Some(started_ms),
+            ..entry("s", "10.0.0.1:80", ServingState::Ready)
+        };
+        let versioned_entry = VersionedEntry {
+            id: "i-1".into(),
+            revision,
+            value: Some(value),
+        };
+        view.apply(&versioned_entry, clock.now());
+        selector.update(&view, clock.now());
+    };
+    let select = |selector: &mut InstanceSelector| {
+        let request = SelectionRequest {
+            service: "s",
+            route: "r",
+            latency_target: Duration::from_secs(1),
+            needs_slot: true,
+        };
+        selector.select(request, &[], clock.now())
+    };
+    let ip = "10.0.0.1".parse().expect("an address");
+    publish(&mut selector, 1, 5);
+    let selected = select(&mut selector).expect("the instance");
+    selector.record_notes(selected.key, &leaving_notes("i-1"));
+    assert_eq!(select(&mut selector), None);
+    assert_eq!(selector.server_notes(ip), leaving_notes("i-1"));
+    selector.record_notes(selected.key, &ServerNotes::default());
+    selector.set_leaving(ip, false, clock.now());
+    clock.advance(Duration::from_secs(60));
+    assert_eq!(select(&mut selector), None);
+    publish(&mut selector, 2, 5);
+    assert_eq!(select(&mut selector), None);
+    publish(&mut selector, 3, 6);
+    assert!(select(&mut selector).is_some());
+}
+
+/// Guards against runs that a restarted daemon sends to a server that leaves, and against a new
+/// server that gets none because of its predecessor.
+#[test]
+fn restarted_daemon_refuses_runs_until_another_server_is_published() {
+    let address = loopback(1, 80);
+    let clock = Arc::new(ManualClock::new());
+    let executor = Executor::new("s".into(), address, context_headers(), clock);
+    executor.adopt_notes(&leaving_notes("i-1"));
+    assert!(executor.is_server_leaving());
+    executor.set_published_instance(&"i-1".into(), Some(5), 20);
+    assert!(executor.is_server_leaving());
+    executor.set_published_instance(&"i-2".into(), Some(9), 20);
+    assert!(!executor.is_server_leaving());
+    executor.adopt_notes(&leaving_notes("i-1"));
+    assert!(!executor.is_server_leaving());
+    executor.adopt_notes(&leaving_notes("i-2"));
+    executor.set_published_instance(&"i-2".into(), Some(10), 20);
+    assert!(!executor.is_server_leaving());
+}
--- a/tests/mesh/named_limit.rs
+++ b/tests/mesh/named_limit.rs
@@ -8,9 +8,10 @@
         mesh::{
             instance_selector::LoadReport,
             named_limit::{LimitError, LimitPacer, NamedLimit, usable_slots},
+            server_notes::ServerNotes,
         },
     },
-    mesh::peer_frame::{NotRunReason, PeerFrame, ReplyFrame, RunResult, ServerNotes},
+    mesh::peer_frame::{NotRunReason, PeerFrame, ReplyFrame, RunResult},
 };
 use std::{
     sync::Arc,
@@ -190,6 +191,7 @@
     let notes = ServerNotes {
         instance: "i-1".into(),
         named_rate: Some(17.1),
+        is_leaving: true,
     };
     let reply = |notes| {
         PeerFrame::Reply(Arc::new(ReplyFrame {
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -8,8 +8,7 @@
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
         peer_frame::{
-            CallFrame, HelloFrame, LoadFrame, NESTED_CLASS, PeerFrame, RunResult, ServerNotes,
-            StoreUpdateFrame,
+            CallFrame, HelloFrame, LoadFrame, NESTED_CLASS, PeerFrame, RunResult, StoreUpdateFrame,
         },
         peer_link::{CallResult, LinkObserver, PeerLink},
         peer_links::PeerLinks,
@@ -70,7 +69,7 @@
             config_version: 0,
             member_count: 0,
             connection_number: 0,
-            notes: ServerNotes::default(),
+            notes: Default::default(),
         }
     }
 
