Take no further retry for attempts that daemons refuse

With limits such refusals are frequent, so that requests refused for one server would use up the retries of others. A granted retry that no backend server got is now used for the next attempt.

Test: attempt_history::refused_attempts_take_no_further_retry.

--- a/src/mesh/attempt_history.rs
+++ b/src/mesh/attempt_history.rs
@@ -24,6 +24,8 @@
     pub tried: Vec<InstanceKey>,
     /// Attempts that may have reached a backend server.
     pub reached: u32,
+    /// Retries that the budget granted.
+    pub granted: u32,
     /// Attempts that were not sent or not run. Those that the backend server itself refused count
     /// as reached instead.
     pub refusals: usize,
@@ -83,6 +85,12 @@
         None
     }
 
+    /// Returns whether a further attempt needs a retry from the budget. A granted retry that no backend
+    /// server got, since daemons refused it, is used for the next attempt.
+    pub fn needs_retry(&self) -> bool {
+        self.reached > self.granted
+    }
+
     /// Returns the final result when no further attempt is made.
     pub fn finish(&mut self, reason: LocalReason) -> Result<RunResponse, LocalReason> {
         if let Some(response) = self.error_response.take() {
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -275,7 +275,7 @@
                     LocalReason::NoInstance
                 });
             };
-            if history.reached > 0 {
+            if history.needs_retry() {
                 let is_granted = self.take_retry(request, &history, now);
                 log::info!(
                     attempt:% = request.attempt_id.escape_ascii(),
@@ -285,6 +285,7 @@
                     "entry: Repeat considered."
                 );
                 if is_granted {
+                    history.granted += 1;
                     state.metrics.count_retry();
                 }
                 if !is_granted {
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod http_text;
 
 mod admission;
+mod attempt_history;
 mod decoders;
 mod end_to_end;
 mod endless_responses;
