Show which requests ran when a backend server ended

After a run without a response the daemon checks whether its backend server still accepts connections. If not, a line names the crash and the fingerprint of the request, by which it is recognised when it comes again with another attempt identifier at another daemon. Nothing is decided by it yet.

--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -3,6 +3,7 @@
 pub mod admission_plan;
 pub mod call_counts;
 pub mod capacity_control;
+pub mod crash_id;
 pub mod decayed_count;
 pub mod entry_admission;
 pub mod fleet_retry_budget;
@@ -14,6 +15,7 @@
 pub mod load_summary;
 pub mod named_limit;
 pub mod reader_election;
+pub mod request_fingerprint;
 pub mod response_limit;
 pub mod route_table;
 pub mod run_table;
--- /dev/null
+++ b/src/decision/mesh/request_fingerprint.rs
@@ -0,0 +1,36 @@
+//! Fingerprint by which a request is recognised when its caller sends it again.
+
+use crate::common::*;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Hash of what stays the same when a caller sends a request again: method, host, target and body.
+/// The attempt identifier and the daemon at which it enters differ.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, Eq, PartialEq, Hash)]
+pub struct RequestFingerprint(pub u64);
+
+impl RequestFingerprint {
+    /// Computes the fingerprint of a request from its request line, header lines and body.
+    pub fn new(head: &[u8], body: &[u8]) -> Self {
+        let mut lines = head.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
+        let mut hasher = Xxh3::new();
+        hasher.update(lines.next().unwrap_or_default());
+        // The separators keep the parts apart; they occur in none of the first two.
+        hasher.update(b"\n");
+        hasher.update(lines.find_map(host_value).unwrap_or_default());
+        hasher.update(b"\n");
+        hasher.update(body);
+        Self(hasher.digest())
+    }
+}
+
+impl Display for RequestFingerprint {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+fn host_value(line: &[u8]) -> Option<&[u8]> {
+    let (name, value) = line.split_at_checked(b"host:".len())?;
+    name.eq_ignore_ascii_case(b"host:")
+        .then(|| value.trim_ascii())
+}
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -10,6 +10,7 @@
 pub mod caller_response;
 pub mod connection_end;
 pub mod context_headers;
+pub mod crash_monitor;
 pub mod entry_proxy;
 pub mod executor;
 pub mod fleet_state;
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -11,6 +11,7 @@
             instance_selector::LoadReport,
             load_summary::{LoadSummary, RouteRuns},
             named_limit::{LimitPacer, NamedLimit, usable_slots},
+            request_fingerprint::RequestFingerprint,
             server_notes::ServerNotes,
             service_times::ServiceTimes,
         },
@@ -26,6 +27,7 @@
     mesh::{
         backend_pool::BackendPool,
         context_headers::ContextHeaders,
+        crash_monitor::CrashMonitor,
         peer_frame::{
             CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult,
             UnknownReason,
@@ -90,6 +92,7 @@
     is_draining: AtomicBool,
     is_server_leaving: AtomicBool,
     leaving_notice: Notify,
+    crash_monitor: CrashMonitor,
 }
 
 impl Executor {
@@ -122,6 +125,7 @@
             is_draining: AtomicBool::new(false),
             is_server_leaving: AtomicBool::new(false),
             leaving_notice: Notify::new(),
+            crash_monitor: CrashMonitor::new(backend),
         }
     }
 
@@ -225,6 +229,11 @@
         self.run_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of times that the backend server ended while it ran requests.
+    pub fn crash_count(&self) -> u64 {
+        self.crash_monitor.count()
+    }
+
     /// Returns the number of requests that were refused because of a limit that the server names.
     pub fn limited_count(&self) -> u64 {
         self.limited_count.load(Ordering::Relaxed)
@@ -347,12 +356,16 @@
         };
         let now = self.clock.now();
         let result = match response {
-            Ok(response) => self.classify_response(call, response),
+            Ok(response) => {
+                self.crash_monitor.record_response();
+                self.classify_response(call, response)
+            }
             Err(error) => {
                 log::info!(
                     "executor: No answer to {}: {error}",
                     call.attempt_id.escape_ascii()
                 );
+                self.check_crash(call, &error).await;
                 let reason = match error {
                     ExchangeError::Message(_) | ExchangeError::SkippedResponses => {
                         UnknownReason::Invalid
@@ -377,6 +390,23 @@
         result
     }
 
+    /// Finds out whether the backend server ended during a run that got no response.
+    async fn check_crash(&self, call: &CallFrame, error: &ExchangeError) {
+        if !matches!(error, ExchangeError::Connection(_) | ExchangeError::Closed) {
+            return;
+        }
+        let Some(crash) = self.crash_monitor.find_crash().await else {
+            return;
+        };
+        log::info!(
+            attempt:% = call.attempt_id.escape_ascii(),
+            route:% = call.route,
+            request:% = RequestFingerprint::new(&call.head, &call.body),
+            crash:% = crash;
+            "executor: The backend server ended during a run."
+        );
+    }
+
     /// Waits until the limit that the backend server names allows another request; returns false if
     /// it does not in time. A nested call waits longer, since refusing it wastes the work on its root
     /// request.
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -318,6 +318,7 @@
             named_rate: self.executor.named_rate(),
             runs: self.executor.run_count(),
             limited_runs: self.executor.limited_count(),
+            crashes: self.executor.crash_count(),
             is_server_leaving: self.executor.is_server_leaving(),
         };
         self.metrics.text(self.executor.load(), &view)
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -43,6 +43,8 @@
     pub runs: u64,
     /// Requests that were refused because of that limit.
     pub limited_runs: u64,
+    /// Times that the local backend server ended while it ran requests.
+    pub crashes: u64,
     /// Whether the local backend server has announced that it leaves.
     pub is_server_leaving: bool,
 }
@@ -75,6 +77,7 @@
     named_limit: Family<Labels, Gauge<f64, AtomicU64>>,
     runs: Counter,
     limited_runs: Counter,
+    crashes: Counter,
 }
 
 impl MeshMetrics {
@@ -105,6 +108,7 @@
             named_limit: Family::default(),
             runs: Counter::default(),
             limited_runs: Counter::default(),
+            crashes: Counter::default(),
         };
         metrics.register();
         metrics
@@ -170,6 +174,11 @@
             "Requests refused because the limit of the backend server was reached",
             self.limited_runs.clone(),
         );
+        registry.register(
+            "backend_crashes",
+            "Times that the backend server ended while it ran requests",
+            self.crashes.clone(),
+        );
         let gauges = [
             (
                 "store_reading",
@@ -271,6 +280,8 @@
         self.runs.inc_by(view.runs.saturating_sub(self.runs.get()));
         self.limited_runs
             .inc_by(view.limited_runs.saturating_sub(self.limited_runs.get()));
+        self.crashes
+            .inc_by(view.crashes.saturating_sub(self.crashes.get()));
         let mut output = String::new();
         // Writing to a string does not fail.
         let _ = text::encode(&mut output, &self.registry);
