--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -11,6 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    task::JoinSet,
 };
 
 /// Starts a server that sends `response` after the first bytes of each connection and then closes
@@ -64,11 +65,18 @@
     pub cancelled: Mutex<usize>,
     /// Lets the held requests complete.
     pub release: tokio::sync::Notify,
+    address: SocketAddr,
+    /// Listener and connections; `None` while the server is down.
+    tasks: Mutex<Option<JoinSet<()>>>,
+    /// Number of crashes.
+    pub crashes: Mutex<usize>,
 }
 
+/// Path of the requests that crash the server that begins to run them.
+pub const CRASH_PATH: &str = "/safe/crash";
+
 impl BackendStandIn {
     pub async fn start(address: SocketAddr, id: &str) -> Arc<Self> {
-        let listener = TcpListener::bind(address).await.expect("the address");
         let server = Arc::new(Self {
             id: Mutex::new(id.to_owned()),
             behaviour: Mutex::new(Behaviour::Respond),
@@ -76,14 +84,36 @@
             runs: Mutex::default(),
             cancelled: Mutex::default(),
             release: tokio::sync::Notify::new(),
+            address,
+            tasks: Mutex::default(),
+            crashes: Mutex::default(),
         });
-        let serving = Arc::clone(&server);
-        tokio::spawn(async move {
+        server.restart().await;
+        server
+    }
+
+    /// Starts the server again if it is down.
+    pub async fn restart(self: &Arc<Self>) {
+        if self.tasks.lock().is_some() {
+            return;
+        }
+        let listener = TcpListener::bind(self.address).await.expect("the address");
+        let serving = Arc::clone(self);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(async move {
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(Arc::clone(&serving).serve(stream));
+                connections.spawn(Arc::clone(&serving).serve(stream));
             }
         });
-        server
+        *self.tasks.lock() = Some(tasks);
+    }
+
+    /// Closes the listener and all connections.
+    fn crash(&self) {
+        if self.tasks.lock().take().is_some() {
+            *self.crashes.lock() += 1;
+        }
     }
 
     pub fn set(&self, behaviour: Behaviour) {
@@ -122,6 +152,9 @@
                 continue;
             }
             self.runs.lock().push(head.clone());
+            if head.contains(CRASH_PATH) {
+                return self.crash();
+            }
             if behaviour == Behaviour::CloseAfterRun {
                 return;
             }
