Refuse requests that end one backend server after the other

Callers saw all classes fail for seconds at a time, since one request that came again and again crashed each server that began to run it: 9 to 14 servers in one minute. Cause: each attempt was judged alone. The request came with another attempt identifier at another daemon, and the entry even retried it at a second server.

The daemon beside a crashed server reports the fingerprints of the runs that the crash broke to all daemons, which count the crashes of each request since its last response. One crash proves little, as all requests in flight have it. After two, a request runs only where no other suspect runs, so that the third crash has one cause, and its entry does not retry it. After three it is refused as not run, and tried again after 20 s, at most twice, in case it only ran beside the culprit. Records are merged by the ids of the crashes, so their order and repetitions do not matter; peers send what they know to a daemon that connects again. Earlier builds read the message as a liveness check. Without crashes nothing is hashed and nothing sent.

--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -4,6 +4,7 @@
 pub mod call_counts;
 pub mod capacity_control;
 pub mod crash_id;
+pub mod crash_suspects;
 pub mod decayed_count;
 pub mod entry_admission;
 pub mod fleet_retry_budget;
--- a/src/decision/mesh/instance_selector.rs
+++ b/src/decision/mesh/instance_selector.rs
@@ -437,6 +437,7 @@
             instance: state.id.clone(),
             named_rate: state.named_rate,
             is_leaving: state.is_server_leaving,
+            crash: None,
         });
         notes.find(|notes| !notes.is_empty()).unwrap_or_default()
     }
--- a/src/decision/mesh/request_fingerprint.rs
+++ b/src/decision/mesh/request_fingerprint.rs
@@ -23,6 +23,24 @@
     }
 }
 
+/// A fingerprint cannot be decoded.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("`{0}` is not a fingerprint of 16 hexadecimal digits.")]
+pub struct FingerprintError(pub SmolStr);
+
+impl FromStr for RequestFingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_complete = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let hash = is_complete.then(|| u64::from_str_radix(text, 16));
+        match hash {
+            Some(Ok(hash)) => Ok(Self(hash)),
+            _ => Err(FingerprintError(text.into())),
+        }
+    }
+}
+
 impl Display for RequestFingerprint {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -28,3 +28,4 @@
 pub mod store_contact;
 pub mod store_interface;
 pub mod store_reader;
+pub mod suspect_controller;
--- a/src/mesh/caller_response.rs
+++ b/src/mesh/caller_response.rs
@@ -36,6 +36,8 @@
     Leaving,
     /// The retry budget or the allowed attempts are used up, and nothing was run.
     Budget,
+    /// Several backend servers ended while they ran the request earlier.
+    CrashSuspect,
     /// The deadline passed before the request was run.
     Expired,
     /// The request may have run and its response is lost.
@@ -62,6 +64,7 @@
             | Self::Shed
             | Self::Leaving
             | Self::Budget
+            | Self::CrashSuspect
             | Self::Expired => 503,
             Self::NoRoute => 404,
             Self::Lost => 502,
@@ -83,6 +86,7 @@
             Self::Shed => "shed",
             Self::Leaving => "leaving",
             Self::Budget => "budget",
+            Self::CrashSuspect => "crash-suspect",
             Self::Expired => "expired",
             Self::Lost => "lost",
             Self::Timeout => "timeout",
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -4,7 +4,9 @@
     common::*,
     decision::mesh::{
         admission_plan::{AdmissionPlan, ServiceCost},
+        crash_suspects::SuspectVerdict,
         instance_selector::{InstanceKey, InstanceResult, SelectedInstance, SelectionRequest},
+        request_fingerprint::RequestFingerprint,
         route_table::{RouteSpec, RunSemantics},
     },
     http1::message_head::RequestHead,
@@ -221,6 +223,10 @@
             plan,
             is_nested,
         };
+        let verdict = self.state.suspects.verdict(&admitted.head, &admitted.body);
+        if verdict == SuspectVerdict::Refused {
+            return Err(LocalReason::CrashSuspect);
+        }
         self.run_attempts(&admitted).await
     }
 
@@ -307,9 +313,13 @@
             };
             match self.make_attempt(request, &instance, max_wait).await {
                 Some(result) => {
+                    let may_retry = self.may_retry_after(request, &result);
                     if let Some(final_result) = history.record_result(result, request.route) {
                         return final_result;
                     }
+                    if !may_retry {
+                        return history.finish(LocalReason::Lost);
+                    }
                 }
                 None => {
                     history.may_have_run = true;
@@ -319,6 +329,19 @@
         }
     }
 
+    /// Records the crash of a server that ended an attempt; returns false if the request must not
+    /// reach a further server because of it.
+    fn may_retry_after(&self, request: &AdmittedRequest<'_>, result: &CallResult) -> bool {
+        let CallResult::Reply(reply) = result else {
+            return true;
+        };
+        let Some(crash) = reply.notes.crash else {
+            return true;
+        };
+        let fingerprint = RequestFingerprint::new(&request.head, &request.body);
+        self.state.suspects.record_crash(fingerprint, crash)
+    }
+
     /// Takes a retry from the budget for a request that may have reached a backend server; returns
     /// false if the request must not be sent to another one.
     fn take_retry(
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -8,6 +8,8 @@
         clock::Clock,
         mesh::{
             call_counts::{CallCounts, RunKey},
+            crash_id::CrashId,
+            crash_suspects::SuspectVerdict,
             instance_selector::LoadReport,
             load_summary::{LoadSummary, RouteRuns},
             named_limit::{LimitPacer, NamedLimit, usable_slots},
@@ -32,6 +34,7 @@
             CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult,
             UnknownReason,
         },
+        suspect_controller::{IsolatedRun, SuspectController},
     },
 };
 use bytes::{BufMut, BytesMut};
@@ -93,6 +96,7 @@
     is_server_leaving: AtomicBool,
     leaving_notice: Notify,
     crash_monitor: CrashMonitor,
+    suspects: Arc<SuspectController>,
 }
 
 impl Executor {
@@ -101,6 +105,7 @@
         service: SmolStr,
         backend: SocketAddr,
         headers: ContextHeaders,
+        suspects: Arc<SuspectController>,
         clock: Arc<dyn Clock>,
     ) -> Self {
         Self {
@@ -126,6 +131,7 @@
             is_server_leaving: AtomicBool::new(false),
             leaving_notice: Notify::new(),
             crash_monitor: CrashMonitor::new(backend),
+            suspects,
         }
     }
 
@@ -200,6 +206,7 @@
             instance: self.identity.lock().current.clone().unwrap_or_default(),
             named_rate: self.named_rate(),
             is_leaving: self.is_server_leaving(),
+            crash: None,
         }
     }
 
@@ -277,14 +284,18 @@
     /// Runs a request and returns its result and the load. `deadline` is when the caller stops
     /// waiting.
     pub async fn run_call(&self, call: &CallFrame, deadline: Instant) -> ReplyFrame {
-        let result = self.run(call, deadline).await;
+        let RunEnd { result, crash } = self.run(call, deadline).await;
         let mean = self.service_times.lock().mean(&call.route);
+        let notes = ServerNotes {
+            crash,
+            ..self.server_notes()
+        };
         ReplyFrame {
             number: call.number,
             result,
             load: self.load(),
             service_time_us: mean.map(|mean| mean.as_micros() as u64),
-            notes: self.server_notes(),
+            notes,
         }
     }
 
@@ -301,81 +312,106 @@
 
     /// Runs a request. If the backend server reports a new id, the request is sent once more: the
     /// daemon has only one backend server, and it belongs to the requested service.
-    async fn run(&self, call: &CallFrame, deadline: Instant) -> RunResult {
+    async fn run(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
         let previous = self.identity.lock().clone();
-        let result = self.run_attempt(call, deadline).await;
+        let end = self.run_attempt(call, deadline).await;
         let has_new_id = *self.identity.lock() != previous;
-        if result == RunResult::NotRun(NotRunReason::OtherInstance) && has_new_id {
+        if end.result == RunResult::NotRun(NotRunReason::OtherInstance) && has_new_id {
             return self.run_attempt(call, deadline).await;
         }
-        result
+        end
     }
 
-    /// Sends a request to the backend server once it gets a slot.
-    async fn run_attempt(&self, call: &CallFrame, deadline: Instant) -> RunResult {
+    /// Sends a request to the backend server once it may start there.
+    async fn run_attempt(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
         if call.service != self.service {
-            return RunResult::NotRun(NotRunReason::OtherInstance);
+            return NotRunReason::OtherInstance.into();
         }
         if self.is_draining.load(Ordering::Relaxed) || self.is_server_leaving() {
-            return RunResult::NotRun(NotRunReason::Leaving);
+            return NotRunReason::Leaving.into();
         }
         let permit = match self.admit(call, deadline).await {
             Ok(permit) => permit,
             // The gate's deadline can be earlier than that of the request, which then has time left
             // for another instance.
             Err(ShedReason::Deadline) if self.clock.now() >= deadline => {
-                return RunResult::NotRun(NotRunReason::Expired);
+                return NotRunReason::Expired.into();
             }
-            Err(_) => return RunResult::NotRun(NotRunReason::Busy),
+            Err(_) => return NotRunReason::Busy.into(),
         };
+        let (end, work_result) = match self.start_run(call, deadline).await {
+            Ok((connection, isolated)) => {
+                let (end, work_result) = self.run_on(connection, call, deadline).await;
+                drop(isolated);
+                (end, work_result)
+            }
+            Err(reason) => (reason.into(), WorkResult::Refused),
+        };
+        permit.finish(work_result);
+        end
+    }
+
+    /// Checks what may have changed while a request waited for a slot, and takes a connection. A
+    /// suspect also gets its isolation.
+    async fn start_run(
+        &self,
+        call: &CallFrame,
+        deadline: Instant,
+    ) -> Result<(ClientConnection, Option<IsolatedRun>), NotRunReason> {
         if !self.wait_for_start(call, deadline).await {
-            permit.finish(WorkResult::Refused);
-            return RunResult::NotRun(NotRunReason::Busy);
+            return Err(NotRunReason::Busy);
         }
-        let connection = match self.pool.take(call.is_at_most_once, self.clock.now()).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                log::info!(
-                    "executor: Cannot reach the backend server for {}: {error}.",
-                    call.attempt_id.escape_ascii()
-                );
-                return RunResult::NotRun(NotRunReason::Unreachable);
+        if self.is_server_leaving() {
+            return Err(NotRunReason::Leaving);
+        }
+        let isolated = match self.suspects.verdict(&call.head, &call.body) {
+            SuspectVerdict::Free => None,
+            SuspectVerdict::Refused => return Err(NotRunReason::Busy),
+            SuspectVerdict::Isolated => {
+                let started = self.suspects.start_isolated(&call.head, &call.body);
+                Some(started.ok_or(NotRunReason::Busy)?)
             }
         };
-        let started = self.clock.now();
-        if started >= deadline {
-            return RunResult::NotRun(NotRunReason::Expired);
+        let taking = self.pool.take(call.is_at_most_once, self.clock.now());
+        let connection = taking.await.map_err(|error| {
+            log::info!(
+                "executor: Cannot reach the backend server for {}: {error}.",
+                call.attempt_id.escape_ascii()
+            );
+            NotRunReason::Unreachable
+        })?;
+        if self.clock.now() >= deadline {
+            return Err(NotRunReason::Expired);
         }
+        Ok((connection, isolated))
+    }
+
+    /// Sends a request over a connection and judges the response.
+    async fn run_on(
+        &self,
+        connection: ClientConnection,
+        call: &CallFrame,
+        deadline: Instant,
+    ) -> (RunEnd, WorkResult) {
+        let started = self.clock.now();
+        let remaining = deadline.saturating_duration_since(started);
         let expected = self.identity.lock().expected(&call.instance);
         let mut run = CountedRun::start(self, &call.route);
         self.run_count.fetch_add(1, Ordering::Relaxed);
-        let response_deadline = deadline + RESPONSE_GRACE;
-        let exchange = self.exchange(connection, call, &expected, deadline - started);
-        let Ok(response) = timeout_at(response_deadline.into(), exchange).await else {
-            return RunResult::Unknown(UnknownReason::Timeout);
+        let exchange = self.exchange(connection, call, &expected, remaining);
+        let Ok(response) = timeout_at((deadline + RESPONSE_GRACE).into(), exchange).await else {
+            let result = RunResult::Unknown(UnknownReason::Timeout);
+            return (result.into(), WorkResult::Aborted);
         };
         let now = self.clock.now();
-        let result = match response {
+        let end = match response {
             Ok(response) => {
                 self.crash_monitor.record_response();
-                self.classify_response(call, response)
-            }
-            Err(error) => {
-                log::info!(
-                    "executor: No answer to {}: {error}",
-                    call.attempt_id.escape_ascii()
-                );
-                self.check_crash(call, &error).await;
-                let reason = match error {
-                    ExchangeError::Message(_) | ExchangeError::SkippedResponses => {
-                        UnknownReason::Invalid
-                    }
-                    ExchangeError::Connection(_) | ExchangeError::Closed => UnknownReason::Broken,
-                };
-                RunResult::Unknown(reason)
+                self.classify_response(call, response).into()
             }
+            Err(error) => self.classify_error(call, &error).await,
         };
-        let work_result = match &result {
+        let work_result = match &end.result {
             // Failures are often fast. Their times would attract load to a failing instance.
             RunResult::Response(response) if response.status >= 500 => WorkResult::Completed,
             RunResult::Response(_) => {
@@ -386,25 +422,44 @@
             RunResult::NotRun(_) => WorkResult::Refused,
             RunResult::Unknown(_) => WorkResult::Aborted,
         };
-        permit.finish(work_result);
-        result
+        if matches!(end.result, RunResult::Response(_)) {
+            self.suspects.record_response(&call.head, &call.body);
+        }
+        (end, work_result)
     }
 
-    /// Finds out whether the backend server ended during a run that got no response.
-    async fn check_crash(&self, call: &CallFrame, error: &ExchangeError) {
-        if !matches!(error, ExchangeError::Connection(_) | ExchangeError::Closed) {
-            return;
-        }
-        let Some(crash) = self.crash_monitor.find_crash().await else {
-            return;
+    /// Returns the end of a run that got no valid response.
+    async fn classify_error(&self, call: &CallFrame, error: &ExchangeError) -> RunEnd {
+        log::info!(
+            "executor: No answer to {}: {error}",
+            call.attempt_id.escape_ascii()
+        );
+        let reason = match error {
+            ExchangeError::Message(_) | ExchangeError::SkippedResponses => UnknownReason::Invalid,
+            ExchangeError::Connection(_) | ExchangeError::Closed => UnknownReason::Broken,
         };
+        RunEnd {
+            result: RunResult::Unknown(reason),
+            crash: self.find_crash(call, reason).await,
+        }
+    }
+
+    /// Returns the crash of the backend server that ended a run, if it did.
+    async fn find_crash(&self, call: &CallFrame, reason: UnknownReason) -> Option<CrashId> {
+        if reason != UnknownReason::Broken {
+            return None;
+        }
+        let crash = self.crash_monitor.find_crash().await?;
+        let request = RequestFingerprint::new(&call.head, &call.body);
         log::info!(
             attempt:% = call.attempt_id.escape_ascii(),
             route:% = call.route,
-            request:% = RequestFingerprint::new(&call.head, &call.body),
+            request:% = request,
             crash:% = crash;
             "executor: The backend server ended during a run."
         );
+        self.suspects.report_crash(request, crash);
+        Some(crash)
     }
 
     /// Waits until the limit that the backend server names allows another request; returns false if
@@ -592,6 +647,28 @@
     }
 }
 
+/// End of a run.
+struct RunEnd {
+    result: RunResult,
+    /// Crash of the backend server that ended the run.
+    crash: Option<CrashId>,
+}
+
+impl From<RunResult> for RunEnd {
+    fn from(result: RunResult) -> Self {
+        Self {
+            result,
+            crash: None,
+        }
+    }
+}
+
+impl From<NotRunReason> for RunEnd {
+    fn from(reason: NotRunReason) -> Self {
+        RunResult::NotRun(reason).into()
+    }
+}
+
 /// Id of the local backend server, as published and as reported by itself.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 struct BackendIdentity {
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -28,6 +28,7 @@
         peer_frame::{HelloFrame, LoadFrame},
         store_contact::StoreContact,
         store_interface::{StoreFormat, StoreItem},
+        suspect_controller::SuspectController,
     },
 };
 use std::{
@@ -53,6 +54,8 @@
     pub daemon_id: u64,
     /// Runs requests at the backend server beside this daemon.
     pub executor: Arc<Executor>,
+    /// Requests that are suspected of crashing backend servers.
+    pub suspects: Arc<SuspectController>,
     /// Selects an instance for each attempt.
     pub selector: Mutex<InstanceSelector>,
     /// Distributes the requests of a route over its weighted targets.
@@ -110,10 +113,13 @@
         format: Arc<dyn StoreFormat>,
         clock: Arc<dyn Clock>,
     ) -> Self {
+        let suspects = Arc::new(SuspectController::new(Arc::clone(&clock)));
+        suspects.set_released(settings.released_requests.clone());
         let executor = Executor::new(
             settings.service.clone(),
             settings.backend,
             headers,
+            Arc::clone(&suspects),
             Arc::clone(&clock),
         );
         let selector = InstanceSelector::new(settings.data_centre.clone(), rand::random());
@@ -139,6 +145,7 @@
             plan: Mutex::default(),
             latest_load: Mutex::default(),
             executor: Arc::new(executor),
+            suspects,
             settings,
             headers,
             format,
@@ -208,6 +215,8 @@
     /// Applies the settings that can change while the daemon runs.
     pub fn reload(&self, settings: &MeshSettings) {
         self.retry_budget.lock().set_bounds(settings.budget);
+        self.suspects
+            .set_released(settings.released_requests.clone());
         let is_fully_applied = settings.backend == self.settings.backend
             && settings.service == self.settings.service
             && settings.outbound == self.settings.outbound
@@ -306,7 +315,11 @@
 
     /// Writes all metrics in the OpenMetrics text format.
     pub fn metrics_text(&self) -> String {
+        let (isolated_requests, refused_requests) = self.suspects.counts();
         let view = ViewReport {
+            isolated_requests,
+            refused_requests,
+            refused_arrivals: self.suspects.refused_count(),
             config_version: self.routes().map_or(0, |routes| routes.version().0),
             members: self.member_count(),
             is_published: self.is_published.load(Ordering::Relaxed),
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -55,6 +55,9 @@
 /// Interval at which a daemon checks whether it is elected to read the store.
 const READER_ELECTION_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Shortest interval between the messages with records of suspected requests.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time after the stop signal in which clients detect that the daemon is not ready: they probe once
 /// a second and disconnect after two negative responses.
 const CLIENT_DRAIN_TIME: Duration = Duration::from_millis(2_500);
@@ -132,6 +135,7 @@
         Arc::clone(&links),
     ));
     tasks.spawn(announce_leaving(Arc::clone(&state), Arc::clone(&links)));
+    tasks.spawn(share_suspects(Arc::clone(&state), Arc::clone(&links)));
     tasks.spawn(send_load(Arc::clone(&state), Arc::clone(&links)));
     tasks.spawn(reload_settings(Arc::clone(&state), settings_path));
     for seed in &settings.seeds {
@@ -177,6 +181,18 @@
     }
 }
 
+/// Sends the records of suspected requests that changed to the peers: those of a crash at once, the
+/// following ones together.
+async fn share_suspects(state: Arc<FleetState>, links: Arc<PeerLinks>) {
+    loop {
+        let records = state.suspects.changes().await;
+        if !records.is_empty() {
+            links.broadcast(&PeerFrame::Suspects(Arc::new(records)));
+        }
+        tokio::time::sleep(SUSPECT_INTERVAL).await;
+    }
+}
+
 /// Updates regularly whether this daemon is elected to read the store.
 async fn elect_readers(state: Arc<FleetState>, is_reader_sender: watch::Sender<bool>) {
     loop {
@@ -277,6 +293,7 @@
         if now >= next_probe {
             next_probe = now + PROBE_INTERVAL;
             links.probe_unreachable();
+            state.suspects.forget_old();
         }
     }
 }
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -45,6 +45,12 @@
     pub limited_runs: u64,
     /// Times that the local backend server ended while it ran requests.
     pub crashes: u64,
+    /// Suspected requests that run only where no other suspect runs.
+    pub isolated_requests: usize,
+    /// Suspected requests that are refused.
+    pub refused_requests: usize,
+    /// How often refused requests came here.
+    pub refused_arrivals: u64,
     /// Whether the local backend server has announced that it leaves.
     pub is_server_leaving: bool,
 }
@@ -78,6 +84,8 @@
     runs: Counter,
     limited_runs: Counter,
     crashes: Counter,
+    suspects: Family<Labels, Gauge>,
+    refused_arrivals: Counter,
 }
 
 impl MeshMetrics {
@@ -109,6 +117,8 @@
             runs: Counter::default(),
             limited_runs: Counter::default(),
             crashes: Counter::default(),
+            suspects: Family::default(),
+            refused_arrivals: Counter::default(),
         };
         metrics.register();
         metrics
@@ -179,6 +189,16 @@
             "Times that the backend server ended while it ran requests",
             self.crashes.clone(),
         );
+        registry.register(
+            "suspects",
+            "Requests suspected of crashing backend servers, by their treatment",
+            self.suspects.clone(),
+        );
+        registry.register(
+            "suspects_refused",
+            "Times that a request was refused since it crashed backend servers",
+            self.refused_arrivals.clone(),
+        );
         let gauges = [
             (
                 "store_reading",
@@ -282,6 +302,17 @@
             .inc_by(view.limited_runs.saturating_sub(self.limited_runs.get()));
         self.crashes
             .inc_by(view.crashes.saturating_sub(self.crashes.get()));
+        for (treatment, count) in [
+            ("isolated", view.isolated_requests),
+            ("refused", view.refused_requests),
+        ] {
+            let labels = vec![("treatment", treatment.to_owned())];
+            self.suspects.get_or_create(&labels).set(count as i64);
+        }
+        self.refused_arrivals.inc_by(
+            view.refused_arrivals
+                .saturating_sub(self.refused_arrivals.get()),
+        );
         let mut output = String::new();
         // Writing to a string does not fail.
         let _ = text::encode(&mut output, &self.registry);
--- a/src/mesh/mesh_settings.rs
+++ b/src/mesh/mesh_settings.rs
@@ -2,10 +2,14 @@
 
 use crate::{
     common::*,
-    decision::mesh::fleet_retry_budget::BudgetBounds,
+    decision::mesh::{
+        fleet_retry_budget::BudgetBounds,
+        request_fingerprint::{FingerprintError, RequestFingerprint},
+    },
     settings::{InvalidSettings, LogSettings, SettingsError},
     toml_location::{self, KeyLocation},
 };
+use serde::{Deserializer, Serializer, de::Error as _};
 use std::path::Path;
 
 /// Largest settings file, in bytes.
@@ -43,6 +47,14 @@
     /// Bounds on retries that all daemons share.
     #[serde(default)]
     pub budget: BudgetBounds,
+    /// Fingerprints of requests that are never refused although servers ended while they ran, as the
+    /// log shows them.
+    #[serde(
+        default,
+        deserialize_with = "deserialize_fingerprints",
+        serialize_with = "serialize_fingerprints"
+    )]
+    pub released_requests: Vec<RequestFingerprint>,
     /// Level and format of the log.
     #[serde(default)]
     pub log: LogSettings,
@@ -93,3 +105,20 @@
         Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
     }
 }
+
+fn deserialize_fingerprints<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<RequestFingerprint>, D::Error> {
+    let texts = Vec::<SmolStr>::deserialize(deserializer)?;
+    let fingerprints = texts.iter().map(|text| text.parse());
+    fingerprints
+        .collect::<Result<_, FingerprintError>>()
+        .map_err(D::Error::custom)
+}
+
+fn serialize_fingerprints<S: Serializer>(
+    fingerprints: &[RequestFingerprint],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(fingerprints.iter().map(RequestFingerprint::to_string))
+}
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -3,7 +3,10 @@
 use crate::{
     common::*,
     decision::mesh::{
-        instance_selector::LoadReport, load_summary::LoadSummary, reader_election::StoreStatus,
+        crash_suspects::{MAX_MESSAGE_RECORDS, SuspectRecord},
+        instance_selector::LoadReport,
+        load_summary::LoadSummary,
+        reader_election::StoreStatus,
         server_notes::ServerNotes,
     },
     mesh::store_interface::StoreItem,
@@ -58,6 +61,9 @@
     Load(Arc<LoadFrame>),
     /// The sender takes no new runs.
     Leaving,
+    /// Records of suspected requests. They are appended to a `Ping`, which earlier builds read.
+    #[serde(skip)]
+    Suspects(Arc<Vec<SuspectRecord>>),
 }
 
 /// Values of the store that a daemon sends to its peers.
@@ -216,10 +222,14 @@
 impl PeerFrame {
     /// Appends the message to a buffer.
     pub fn encode(&self, buffer: &mut BytesMut) {
-        let encoded = postcard::to_stdvec(self).and_then(|bytes| match self.notes() {
-            Some(notes) => postcard::to_extend(notes, bytes),
-            None => Ok(bytes),
-        });
+        let encoded = match self {
+            Self::Suspects(records) => postcard::to_stdvec(&Self::Ping)
+                .and_then(|bytes| postcard::to_extend(records.as_ref(), bytes)),
+            _ => postcard::to_stdvec(self).and_then(|bytes| match self.notes() {
+                Some(notes) => postcard::to_extend(notes, bytes),
+                None => Ok(bytes),
+            }),
+        };
         match encoded {
             Ok(bytes) => {
                 buffer.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
@@ -244,10 +254,17 @@
         buffer.advance(LENGTH_BYTES);
         let bytes = buffer.split_to(length);
         let (mut frame, appended) = postcard::take_from_bytes::<Self>(&bytes)?;
-        if !appended.is_empty()
-            && let Some(notes) = frame.notes_mut()
-        {
+        if appended.is_empty() {
+            return Ok(Some(frame));
+        }
+        if let Some(notes) = frame.notes_mut() {
             *notes = postcard::from_bytes(appended)?;
+        } else if matches!(frame, Self::Ping) {
+            let records: Vec<SuspectRecord> = postcard::from_bytes(appended)?;
+            if records.len() > MAX_MESSAGE_RECORDS {
+                return Err(FrameError::Records(records.len()));
+            }
+            return Ok(Some(Self::Suspects(Arc::new(records))));
         }
         Ok(Some(frame))
     }
@@ -278,6 +295,9 @@
     /// The message is too large.
     #[error("the message of {0} bytes is too large")]
     Size(usize),
+    /// The message has more records than any daemon sends.
+    #[error("the message has {0} records")]
+    Records(usize),
     /// The bytes do not encode a message.
     #[error("cannot decode the message: {0}")]
     Decode(#[from] postcard::Error),
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -171,6 +171,12 @@
         selector.set_leaving(address.ip(), hello.is_leaving, now);
         drop(selector);
         self.send_missing_state(address, hello);
+        let suspects = self.state.suspects.known_suspects();
+        if !suspects.is_empty()
+            && let Some(link) = self.link(address)
+        {
+            link.send(PeerFrame::Suspects(Arc::new(suspects)));
+        }
     }
 
     fn on_store_update(&self, address: SocketAddr, update: &StoreUpdateFrame) {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -274,6 +274,7 @@
             }
             PeerFrame::Load(load) => self.receive_load(&load, output),
             PeerFrame::Leaving => self.set_leaving(true),
+            PeerFrame::Suspects(records) => listener.state.suspects.merge(&records),
             PeerFrame::Hello(_)
             | PeerFrame::Resumed { .. }
             | PeerFrame::Reply(_)
--- a/tests/mesh/leaving_servers.rs
+++ b/tests/mesh/leaving_servers.rs
@@ -14,7 +14,7 @@
             server_notes::ServerNotes,
         },
     },
-    mesh::executor::Executor,
+    mesh::{executor::Executor, suspect_controller::SuspectController},
     platform::context_names::context_headers,
 };
 use std::{sync::Arc, time::Duration};
@@ -24,6 +24,7 @@
         instance: id.into(),
         named_rate: None,
         is_leaving: true,
+        crash: None,
     }
 }
 
@@ -109,7 +110,8 @@
 fn restarted_daemon_refuses_runs_until_another_server_is_published() {
     let address = loopback(1, 80);
     let clock = Arc::new(ManualClock::new());
-    let executor = Executor::new("s".into(), address, context_headers(), clock);
+    let suspects = Arc::new(SuspectController::new(Arc::clone(&clock) as Arc<dyn Clock>));
+    let executor = Executor::new("s".into(), address, context_headers(), suspects, clock);
     executor.adopt_notes(&leaving_notes("i-1"));
     assert!(executor.is_server_leaving());
     executor.set_published_instance(&"i-1".into(), Some(5), 20);
--- a/tests/mesh/named_limit.rs
+++ b/tests/mesh/named_limit.rs
@@ -192,6 +192,7 @@
         instance: "i-1".into(),
         named_rate: Some(17.1),
         is_leaving: true,
+        crash: None,
     };
     let reply = |notes| {
         PeerFrame::Reply(Arc::new(ReplyFrame {
