--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -205,11 +205,12 @@
     }
 
     /// Waits until the local backend server announces that it leaves, and takes it out of the
-    /// selection of this daemon.
-    pub async fn server_leaving(&self) {
+    /// selection of this daemon; returns what the server says of itself.
+    pub async fn server_leaving(&self) -> ServerNotes {
         let notes = self.executor.server_leaving().await;
         let local_ip = self.settings.peer.ip();
         self.selector.lock().record_leaving(local_ip, &notes);
+        notes
     }
 
     /// Applies the settings that can change while the daemon runs.
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -176,8 +176,8 @@
 /// say so later.
 async fn announce_leaving(state: Arc<FleetState>, links: Arc<PeerLinks>) {
     loop {
-        state.server_leaving().await;
-        links.broadcast(&PeerFrame::Leaving);
+        let notes = state.server_leaving().await;
+        links.broadcast(&PeerFrame::ServerLeaving(notes));
     }
 }
 
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -61,6 +61,10 @@
     Load(Arc<LoadFrame>),
     /// The sender takes no new runs.
     Leaving,
+    /// The backend server beside the sender has announced that it leaves. What it says of itself is
+    /// appended to a `Leaving`, which earlier builds read.
+    #[serde(skip)]
+    ServerLeaving(ServerNotes),
     /// Records of suspected requests. They are appended to a `Ping`, which earlier builds read.
     #[serde(skip)]
     Suspects(Arc<Vec<SuspectRecord>>),
@@ -223,6 +227,8 @@
     /// Appends the message to a buffer.
     pub fn encode(&self, buffer: &mut BytesMut) {
         let encoded = match self {
+            Self::ServerLeaving(notes) => postcard::to_stdvec(&Self::Leaving)
+                .and_then(|bytes| postcard::to_extend(notes, bytes)),
             Self::Suspects(records) => postcard::to_stdvec(&Self::Ping)
                 .and_then(|bytes| postcard::to_extend(records.as_ref(), bytes)),
             _ => postcard::to_stdvec(self).and_then(|bytes| match self.notes() {
@@ -259,14 +265,13 @@
         }
         if let Some(notes) = frame.notes_mut() {
             *notes = postcard::from_bytes(appended)?;
-        } else if matches!(frame, Self::Ping) {
-            let records: Vec<SuspectRecord> = postcard::from_bytes(appended)?;
-            if records.len() > MAX_MESSAGE_RECORDS {
-                return Err(FrameError::Records(records.len()));
-            }
-            return Ok(Some(Self::Suspects(Arc::new(records))));
+            return Ok(Some(frame));
         }
-        Ok(Some(frame))
+        Ok(Some(match frame {
+            Self::Leaving => Self::ServerLeaving(postcard::from_bytes(appended)?),
+            Self::Ping => Self::Suspects(Arc::new(decode_records(appended)?)),
+            frame => frame,
+        }))
     }
 
     /// Returns the notes that are appended to the message, if there are any.
@@ -289,6 +294,14 @@
     }
 }
 
+fn decode_records(bytes: &[u8]) -> Result<Vec<SuspectRecord>, FrameError> {
+    let records: Vec<SuspectRecord> = postcard::from_bytes(bytes)?;
+    if records.len() > MAX_MESSAGE_RECORDS {
+        return Err(FrameError::Records(records.len()));
+    }
+    Ok(records)
+}
+
 /// A message from a peer could not be decoded.
 #[derive(Clone, Debug, Error)]
 pub enum FrameError {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -274,6 +274,12 @@
             }
             PeerFrame::Load(load) => self.receive_load(&load, output),
             PeerFrame::Leaving => self.set_leaving(true),
+            PeerFrame::ServerLeaving(notes) => {
+                self.set_leaving(true);
+                if let Some(ip) = self.peer_ip {
+                    listener.state.selector.lock().record_leaving(ip, &notes);
+                }
+            }
             PeerFrame::Suspects(records) => listener.state.suspects.merge(&records),
             PeerFrame::Hello(_)
             | PeerFrame::Resumed { .. }
--- a/tests/mesh/leaving_servers.rs
+++ b/tests/mesh/leaving_servers.rs
@@ -5,6 +5,7 @@
     fleet_view::entry,
     stand_ins::loopback,
 };
+use bytes::BytesMut;
 use skylarkstream::{
     decision::{
         clock::{Clock, ManualClock},
@@ -14,7 +15,7 @@
             server_notes::ServerNotes,
         },
     },
-    mesh::{executor::Executor, suspect_controller::SuspectController},
+    mesh::{executor::Executor, peer_frame::PeerFrame, suspect_controller::SuspectController},
     platform::context_names::context_headers,
 };
 use std::{sync::Arc, time::Duration};
@@ -104,6 +105,37 @@
     assert!(select(&mut selector).is_some());
 }
 
+/// Guards against a daemon that only heard of the leaving from its peer, uses the server again after
+/// the handshake of the restarted peer, and cannot tell that one. Earlier builds read the message as
+/// that of a stopping daemon.
+#[test]
+fn announced_leaving_outlasts_a_restart_of_the_daemon() {
+    const LENGTH_BYTES: usize = 4;
+    let mut bytes = BytesMut::new();
+    PeerFrame::ServerLeaving(leaving_notes("i-1")).encode(&mut bytes);
+    let read_by_earlier_build = postcard::from_bytes(&bytes[LENGTH_BYTES..]);
+    assert!(matches!(read_by_earlier_build, Ok(PeerFrame::Leaving)));
+    let Ok(Some(PeerFrame::ServerLeaving(notes))) = PeerFrame::decode(&mut bytes) else {
+        panic!("not the message that was encoded");
+    };
+    let clock = ManualClock::new();
+    let mut view = FleetView::new();
+    let versioned_entry = VersionedEntry {
+        id: "i-1".into(),
+        revision: 1,
+        value: Some(entry("s", "10.0.0.1:80", ServingState::Ready)),
+    };
+    view.apply(&versioned_entry, clock.now());
+    let mut selector = InstanceSelector::new("dc-1".into(), 7);
+    selector.update(&view, clock.now());
+    let ip = "10.0.0.1".parse().expect("an address");
+    selector.set_leaving(ip, true, clock.now());
+    selector.record_leaving(ip, &notes);
+    selector.set_leaving(ip, false, clock.now());
+    assert!(!selector.can_reach("s", clock.now()));
+    assert_eq!(selector.server_notes(ip), leaving_notes("i-1"));
+}
+
 /// Guards against runs that a restarted daemon sends to a server that leaves, and against a new
 /// server that gets none because of its predecessor.
 #[test]
