--- a/tests/soak/backend.rs
+++ b/tests/soak/backend.rs
@@ -1,6 +1,7 @@
 //! Backend server that records the requests that reach it and can be made to misbehave.
 
 use crate::{
+    announcements::CRASH_PATH,
     fleet::Fleet,
     history::{Arrival, ObservedResult, SentRequest},
     http_text::{field, read_message},
@@ -10,7 +11,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -57,6 +58,12 @@
     machine: usize,
     pub id: Mutex<String>,
     mode: Mutex<BackendMode>,
+    /// Limit that all responses name, in requests per second.
+    limit: Mutex<Option<u32>>,
+    /// Whether all responses announce that the server leaves.
+    is_leaving: AtomicBool,
+    /// When a request crashed the server, until it is started again.
+    crashed_at: Mutex<Option<Instant>>,
     start_count: AtomicUsize,
     in_flight: AtomicUsize,
     request_count: AtomicUsize,
@@ -78,6 +85,9 @@
             machine,
             id: Mutex::new(format!("i-{machine}-0")),
             mode: Mutex::new(BackendMode::Normal),
+            limit: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            crashed_at: Mutex::default(),
             start_count: AtomicUsize::new(1),
             in_flight: AtomicUsize::new(0),
             request_count: AtomicUsize::new(0),
@@ -119,12 +129,43 @@
         *self.listener_tasks.lock() = Some(tasks);
     }
 
+    /// Returns whether a request crashed the server at least `downtime` ago. The next call returns
+    /// false.
+    pub fn take_crash(&self, downtime: Duration) -> bool {
+        let mut crashed_at = self.crashed_at.lock();
+        let is_due = crashed_at.is_some_and(|at| at.elapsed() >= downtime);
+        if is_due {
+            *crashed_at = None;
+        }
+        is_due
+    }
+
     /// Closes all connections and aborts all requests; returns whether the server was running.
     pub fn crash(&self) -> bool {
         self.in_flight.store(0, Ordering::Relaxed);
         self.listener_tasks.lock().take().is_some()
     }
 
+    /// Sets the limit that all responses name.
+    pub fn set_limit(&self, limit: Option<u32>) {
+        *self.limit.lock() = limit;
+    }
+
+    /// Sets whether all responses announce that the server leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    /// Returns the header lines with which a response announces the state of the server.
+    fn announcement_lines(&self) -> String {
+        let limit = *self.limit.lock();
+        let mut lines = limit.map_or_else(String::new, |rate| format!("Server-Limit: {rate}\r\n"));
+        if self.is_leaving.load(Ordering::Relaxed) {
+            lines.push_str("Server-Leaving: 1\r\n");
+        }
+        lines
+    }
+
     /// Sets how requests are treated from now on.
     pub fn set_mode(&self, mode: BackendMode) {
         *self.mode.lock() = mode;
@@ -168,6 +209,14 @@
                 format!("HTTP/1.1 421 M\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
             return Some((response, false));
         }
+        if head.contains(CRASH_PATH) {
+            arrival.is_run = true;
+            fleet.history.record_arrival(&attempt_id, head, arrival);
+            *self.crashed_at.lock() = Some(Instant::now());
+            self.crash();
+            return None;
+        }
+        let announcements = self.announcement_lines();
         let count = self.request_count.fetch_add(1, Ordering::Relaxed);
         let mode = *self.mode.lock();
         let mode = if count.is_multiple_of(3) {
@@ -179,7 +228,7 @@
         if mode == BackendMode::Refuse || is_full {
             fleet.history.record_arrival(&attempt_id, head, arrival);
             let response = format!(
-                "HTTP/1.1 503 F\r\nAttempt-Id: {attempt_id}\r\nNot-Executed: 1\r\n\
+                "HTTP/1.1 503 F\r\nAttempt-Id: {attempt_id}\r\nNot-Executed: 1\r\n{announcements}\
                  Content-Length: 0\r\n\r\n"
             );
             return Some((response, false));
@@ -200,7 +249,7 @@
         let signature = format!("{id}.{count}");
         let render = |attempt_id: &str, signature: &str| {
             format!(
-                "HTTP/1.1 {status} R\r\nAttempt-Id: {attempt_id}\r\n{signature}\
+                "HTTP/1.1 {status} R\r\nAttempt-Id: {attempt_id}\r\n{signature}{announcements}\
                  Content-Length: {}\r\n\r\n{body}",
                 body.len()
             )
@@ -219,6 +268,9 @@
             }
             _ => {}
         }
+        if self.is_leaving.load(Ordering::Relaxed) && announcements.contains("Leaving") {
+            fleet.history.record_leaving(&id);
+        }
         let complete = (status.to_owned(), signature, body.clone());
         fleet
             .history
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -1,6 +1,7 @@
 //! Callers that reuse their connections to one daemon, even while it is draining.
 
 use crate::{
+    announcements::CRASH_PATH,
     fleet::Fleet,
     history::{ObservedResult, SentRequest},
     http_text::{field, read_message},
@@ -90,6 +91,28 @@
     is_served
 }
 
+/// Sends the request that crashes backend servers to one daemon.
+pub async fn send_culprit(fleet: &Fleet, machine: usize) {
+    let Ok(mut stream) = TcpStream::connect(fleet.outbound(machine)).await else {
+        return;
+    };
+    let attempt_id = fleet.next_attempt_id();
+    let sent = SentRequest {
+        method_and_path: format!("GET {CRASH_PATH}"),
+        ..new_request(fleet, machine, "safe", "GET", &attempt_id, String::new())
+    };
+    let text = request_text(&sent, &attempt_id, false);
+    fleet.history.record_sent(&attempt_id, sent);
+    if stream.write_all(text.as_bytes()).await.is_err() {
+        return;
+    }
+    let max_wait = Duration::from_millis(DEADLINE_MS) + RESPONSE_MARGIN;
+    let mut stream = BufStream::new(stream);
+    let response = timeout(max_wait, read_message(&mut stream)).await;
+    let result = observed_result(response.as_ref().map(|text| text.as_deref()));
+    fleet.history.record_result(&attempt_id, result);
+}
+
 fn new_request(
     fleet: &Fleet,
     machine: usize,
--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -9,6 +9,10 @@
 /// faults.
 const SILENCE_SEED_STEP: u64 = 4;
 
+/// Remainder of the seeds, divided by `SILENCE_SEED_STEP`, of rounds in which backend servers announce
+/// limits and that they leave, a request crashes them, and only daemons have faults.
+const ANNOUNCEMENT_SEED: u64 = 1;
+
 /// Longest time from a configuration change to the silence of the connections that follows it.
 const BEFORE_SILENCE: Duration = Duration::from_millis(100);
 
@@ -50,6 +54,12 @@
     Drain { machine: usize },
     /// The store gets entries that cannot be read or that have an unknown state or service.
     MalformedEntries,
+    /// A backend server names a limit, changes it, and withdraws it.
+    NameLimit { machine: usize, rates: [u32; 2] },
+    /// A backend server announces in its responses that it leaves, and is replaced.
+    AnnounceLeaving { machine: usize },
+    /// A caller sends the request that crashes backend servers to two daemons.
+    SendCulprit { machine: usize },
     /// The store gets the next configuration.
     ConfigChange,
     /// All open connections to the store and between groups stay open and deliver nothing any more.
@@ -77,6 +87,9 @@
     if seed % SILENCE_SEED_STEP == SILENCE_SEED_STEP - 1 {
         return silent_connections(&mut rng, round_duration);
     }
+    if has_announcements(seed) {
+        return announcements(&mut rng, round_duration, machines);
+    }
     // Some rounds have fewer faults, so that these affect a fleet that has recovered.
     let mean_gap_ms = [250, 500, 1_500, 4_000][rng.random_range(0..4)];
     let mut at = Duration::from_millis(200);
@@ -97,6 +110,44 @@
     faults
 }
 
+/// Returns whether backend servers announce limits and that they leave in the round of a seed.
+pub fn has_announcements(seed: u64) -> bool {
+    seed % SILENCE_SEED_STEP == ANNOUNCEMENT_SEED
+}
+
+/// Generates rounds with announcements of backend servers, a culprit and restarts of daemons.
+fn announcements(rng: &mut Pcg64Mcg, round_duration: Duration, machines: usize) -> Vec<TimedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < round_duration {
+        let machine = rng.random_range(0..machines);
+        let fault = match rng.random_range(0..8) {
+            0..2 => Fault::NameLimit {
+                machine,
+                rates: [rng.random_range(0..12), rng.random_range(0..12)],
+            },
+            2 => Fault::AnnounceLeaving { machine },
+            3..6 => Fault::SendCulprit { machine },
+            6 => Fault::Kill { machine },
+            _ => Fault::Terminate {
+                machine,
+                signals: 0,
+            },
+        };
+        let duration = match fault {
+            Fault::Kill { .. } => Duration::from_millis(rng.random_range(50..500)),
+            _ => Duration::from_millis(rng.random_range(4_000..9_000)),
+        };
+        faults.push(TimedFault {
+            at,
+            duration,
+            fault,
+        });
+        at += Duration::from_millis(rng.random_range(1..=900));
+    }
+    faults
+}
+
 /// Generates rounds whose connections go silent, with configuration changes shortly before and after.
 fn silent_connections(rng: &mut Pcg64Mcg, round_duration: Duration) -> Vec<TimedFault> {
     let mut faults = Vec::new();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! Fleet of daemon processes with their store, backend servers and links.
 
 use crate::{
+    announcements::LimitSpan,
     backend::{Backend, BackendMode},
     caller,
     fault_plan::{Fault, TimedFault},
@@ -27,6 +28,9 @@
 /// Time within which each daemon must serve all routes after its start and after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time until a backend server is back that a request has crashed.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(1_200);
+
 /// Services, assigned to the machines in turn.
 const SERVICES: [&str; 3] = ["sa", "sb", "sc"];
 
@@ -191,6 +195,8 @@
             let fleet = Arc::clone(self);
             callers.spawn(caller::send_until_stopped(fleet, machine, seed));
         }
+        let mut restarts = JoinSet::new();
+        restarts.spawn(Arc::clone(self).restart_crashed());
         let begin = Instant::now();
         let mut fault_tasks = JoinSet::new();
         for timed in faults {
@@ -210,6 +216,7 @@
         self.is_stopping.store(true, Ordering::Relaxed);
         while callers.join_next().await.is_some() {}
         self.wait_until_serving().await;
+        restarts.shutdown().await;
         let shutdowns = self
             .daemons
             .iter()
@@ -338,6 +345,27 @@
                 // Not recorded as a fault, since the check of drains excludes times with faults.
                 return;
             }
+            Fault::NameLimit { machine, rates } => {
+                self.name_limits(machine, rates, duration).await;
+                return;
+            }
+            Fault::AnnounceLeaving { machine } => {
+                let backend = &self.backends[machine];
+                let id = backend.id.lock().clone();
+                backend.set_leaving(true);
+                tokio::time::sleep(duration).await;
+                backend.set_leaving(false);
+                backend.assign_new_id();
+                self.store.put(&format!("servers/{id}"), None);
+                self.publish_entry(machine, "ready");
+                return;
+            }
+            Fault::SendCulprit { machine } => {
+                let other = (machine + 1) % self.daemons.len();
+                caller::send_culprit(self, machine).await;
+                caller::send_culprit(self, other).await;
+                return;
+            }
             Fault::MalformedEntries => {
                 self.store.put("servers/f1", Some("{}".to_owned()));
                 self.store.put("servers/f2", Some("\u{1}\u{2}".to_owned()));
@@ -397,6 +425,38 @@
         (0..self.daemons.len()).for_each(|machine| self.publish_entry(machine, "ready"));
     }
 
+    /// Lets a backend server name one limit after the other, each for half of `duration`, and then
+    /// withdraw it.
+    async fn name_limits(&self, machine: usize, rates: [u32; 2], duration: Duration) {
+        let backend = &self.backends[machine];
+        for rate in rates {
+            let begin = Instant::now();
+            let instance = backend.id.lock().clone();
+            backend.set_limit(Some(rate));
+            tokio::time::sleep(duration / 2).await;
+            self.history.record_limit(LimitSpan {
+                instance,
+                rate: rate.into(),
+                begin,
+                end: Instant::now(),
+            });
+        }
+        backend.set_limit(None);
+    }
+
+    /// Restarts backend servers some time after a request has crashed them.
+    async fn restart_crashed(self: Arc<Self>) {
+        loop {
+            for (machine, backend) in self.backends.iter().enumerate() {
+                if backend.take_crash(CRASH_DOWNTIME) {
+                    backend.start(&self).await;
+                    self.publish_entry(machine, "ready");
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     async fn crash(self: &Arc<Self>, machine: usize, keeps_id: bool, duration: Duration) {
         let backend = &self.backends[machine];
         if !backend.crash() {
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -15,6 +15,7 @@
 //! - `END`: a daemon exited unexpectedly, with an error or not in time.
 //! - `HARNESS`: the test itself failed.
 
+use crate::announcements::{AnnouncementLog, LimitSpan};
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
@@ -127,6 +128,8 @@
     draining: Mutex<Vec<(String, Instant)>>,
     /// Configuration versions, each with the time at which the store confirmed it.
     configs: Mutex<Vec<(usize, Instant)>>,
+    /// What backend servers announced in their responses.
+    announcements: Mutex<AnnouncementLog>,
     /// Violations that were detected during the round.
     recorded_violations: Mutex<Vec<String>>,
 }
@@ -190,6 +193,33 @@
         draining.push((instance.to_owned(), Instant::now()));
     }
 
+    /// Records that an instance named a limit for a time.
+    pub fn record_limit(&self, span: LimitSpan) {
+        self.announcements.lock().limits.push(span);
+    }
+
+    /// Records that an instance has announced in a response that it leaves.
+    pub fn record_leaving(&self, instance: &str) {
+        let mut announcements = self.announcements.lock();
+        let leaving = &mut announcements.leaving;
+        if !leaving.iter().any(|(known, _)| known == instance) {
+            leaving.push((instance.to_owned(), Instant::now()));
+        }
+    }
+
+    /// Returns the violations of what backend servers announced, for rounds in which only daemons
+    /// have faults.
+    pub fn announcement_violations(&self) -> Vec<String> {
+        let requests = self.requests.lock();
+        let records = requests.values();
+        let arrivals: Vec<(&SentRequest, &Arrival)> = records
+            .filter_map(|record| Some((record.sent.as_ref()?, &record.arrivals)))
+            .flat_map(|(sent, arrivals)| arrivals.iter().map(move |arrival| (sent, arrival)))
+            .collect();
+        let announcements = self.announcements.lock();
+        announcements.violations(&arrivals, &self.fault_spans.lock())
+    }
+
     /// Records that the store is about to confirm a configuration.
     pub fn record_config(&self, version: usize) {
         self.configs.lock().push((version, Instant::now()));
--- a/tests/soak/history_checks.rs
+++ b/tests/soak/history_checks.rs
@@ -1,7 +1,10 @@
 //! Tests that the history reports each kind of violation. Otherwise a round without violations
 //! would show nothing.
 
-use crate::history::{Arrival, FaultSpan, History, ObservedResult, SentRequest};
+use crate::{
+    announcements::{CRASH_PATH, LimitSpan},
+    history::{Arrival, FaultSpan, History, ObservedResult, SentRequest},
+};
 use std::time::{Duration, Instant};
 
 const HEAD: &str = "POST /once/x HTTP/1.1\r\nCaller-Service: sa\r\n\r\nbody";
@@ -165,3 +168,74 @@
     assert!(found.contains("CONFIG: u was run by sa"), "{found}");
     assert!(!found.contains("CONFIG: t"), "{found}");
 }
+
+/// Returns the violations of announcements when requests of machine 0 reach `i` at these times, in
+/// milliseconds.
+fn announcement_violations(
+    history: &History,
+    path: &str,
+    times_ms: impl Iterator<Item = u64>,
+) -> String {
+    let begin = Instant::now();
+    for time_ms in times_ms {
+        let attempt_id = format!("t{time_ms}");
+        let mut request = sent(false);
+        request.method_and_path = format!("GET {path}");
+        request.sent_at = begin + Duration::from_millis(time_ms);
+        let mut arrival = run("i", "sb");
+        arrival.arrived_at = request.sent_at;
+        history.record_sent(&attempt_id, request);
+        history.record_arrival(&attempt_id, HEAD, arrival);
+    }
+    history.announcement_violations().join("; ")
+}
+
+#[test]
+fn requests_beyond_a_limit_are_reported_after_the_settling_time() {
+    let limited = |rate| {
+        let history = History::default();
+        let begin = Instant::now();
+        history.record_limit(LimitSpan {
+            instance: "i".to_owned(),
+            rate,
+            begin,
+            end: begin + Duration::from_secs(9),
+        });
+        let settled = announcement_violations(&history, "/safe/x", (0..2_900).step_by(10));
+        assert_eq!(settled, "");
+        announcement_violations(&history, "/safe/x", (4_000..8_000).step_by(100))
+    };
+    assert!(
+        limited(5.0).contains("LIMIT: 40 requests"),
+        "{}",
+        limited(5.0)
+    );
+    assert_eq!(limited(6.0), "");
+}
+
+#[test]
+fn requests_to_a_leaving_server_are_reported() {
+    let history = History::default();
+    history.record_leaving("i");
+    let early = announcement_violations(&history, "/safe/x", [0, 1_900].into_iter());
+    assert_eq!(early, "");
+    let late = announcement_violations(&history, "/safe/x", [2_500].into_iter());
+    assert!(late.contains("LEAVING: 1 requests"), "{late}");
+}
+
+#[test]
+fn runs_of_a_known_culprit_are_reported_unless_its_daemon_had_a_fault() {
+    let times = || [0, 10, 20, 1_000, 4_000, 5_000, 6_000, 7_000].into_iter();
+    let history = History::default();
+    let found = announcement_violations(&history, CRASH_PATH, times());
+    assert!(found.contains("CRASH: 4 runs"), "{found}");
+    let history = History::default();
+    let begin = Instant::now();
+    history.record_fault_span(FaultSpan {
+        machine: Some(0),
+        is_kill: true,
+        begin: begin + Duration::from_millis(4_500),
+        end: begin + Duration::from_millis(4_600),
+    });
+    assert_eq!(announcement_violations(&history, CRASH_PATH, times()), "");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 //! `SOAK_SEEDS`, a few short rounds are executed, and guarantees with a time bound are not checked,
 //! since the machine may be busy.
 
+mod announcements;
 mod backend;
 mod caller;
 mod fault_plan;
@@ -47,13 +48,16 @@
 const SHORT_ROUND_SEEDS: [u64; 3] = [1, 2, 3];
 
 /// Rounds that once had a violation, as seed and duration in seconds. They are always executed.
-const REGRESSION_ROUNDS: [(u64, u64); 3] = [
+const REGRESSION_ROUNDS: [(u64, u64); 4] = [
     // Responses were sent over an older peer connection, whose hello frame a stalled link had
     // delayed.
     (8, 12),
     // Daemons that were paused after SIGTERM exited before they read the requests that had arrived.
     (28, 20),
     (42, 20),
+    // A restarted daemon sent requests to its backend server, which had announced that it leaves:
+    // peers that had only heard so from the daemon forgot it at the new handshake.
+    (13, 20),
 ];
 
 /// Fault injection into one fleet.
@@ -86,6 +90,9 @@
         let mut violations = fleet
             .execute(self.seed, self.duration, faults, self.checks_time_bounds)
             .await;
+        if self.checks_time_bounds && fault_plan::has_announcements(self.seed) {
+            violations.extend(fleet.history.announcement_violations());
+        }
         let (requests, successes, runs) = fleet.history.counts();
         if successes == 0 {
             violations.push("RECOVER: no request was served".to_owned());
