Tell a daemon that connects what the backend server beside the listener says of itself

Listeners now put what their server says into their handshake, so that each connected daemon knows it and can tell it to a restarted one.

--- a/src/decision/mesh/instance_selector.rs
+++ b/src/decision/mesh/instance_selector.rs
@@ -419,12 +419,13 @@
         state.is_server_leaving |= notes.is_leaving && notes.instance == state.id;
     }
 
-    /// Records the leaving of the backend server that runs on a machine.
-    pub fn record_leaving(&mut self, ip: std::net::IpAddr, notes: &ServerNotes) {
-        for state in self.instances.values_mut() {
-            if state.entry.address.ip() == ip && state.id == notes.instance {
-                state.is_server_leaving |= notes.is_leaving;
-            }
+    /// Records what the daemon on a machine says of its backend server.
+    pub fn record_peer_notes(&mut self, ip: std::net::IpAddr, notes: &ServerNotes) {
+        let states = self.instances.values_mut();
+        let mut local_states = states.filter(|state| state.entry.address.ip() == ip);
+        if let Some(state) = local_states.find(|state| state.id == notes.instance) {
+            state.named_rate = notes.named_rate.or(state.named_rate);
+            state.is_server_leaving |= notes.is_leaving;
         }
     }
 
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -74,7 +74,7 @@
 
 /// Divisor of the remaining time of a nested call that gives its longest wait for a limit that the
 /// backend server names.
-const NESTED_LIMIT_WAIT_DIVISOR: u32 = 4;
+pub const NESTED_LIMIT_WAIT_DIVISOR: u32 = 4;
 
 /// Runs requests at the local backend server and limits their concurrency to its slots.
 pub struct Executor {
@@ -200,8 +200,8 @@
         }
     }
 
-    /// Returns what the backend server says of itself, for the senders of its requests.
-    fn server_notes(&self) -> ServerNotes {
+    /// Returns what the backend server says of itself, for the peers.
+    pub fn server_notes(&self) -> ServerNotes {
         ServerNotes {
             instance: self.identity.lock().current.clone().unwrap_or_default(),
             named_rate: self.named_rate(),
@@ -737,7 +737,7 @@
 }
 
 /// Returns the mean time of the runs of all routes; zero without any.
-fn mean_run_time(runs: &[RouteRuns]) -> Duration {
+pub fn mean_run_time(runs: &[RouteRuns]) -> Duration {
     let count: f32 = runs.iter().map(|run| run.count).sum();
     let time_s: f32 = runs.iter().map(|run| run.count * run.mean_time_s).sum();
     Duration::try_from_secs_f32(time_s / count).unwrap_or_default()
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -209,7 +209,7 @@
     pub async fn server_leaving(&self) -> ServerNotes {
         let notes = self.executor.server_leaving().await;
         let local_ip = self.settings.peer.ip();
-        self.selector.lock().record_leaving(local_ip, &notes);
+        self.selector.lock().record_peer_notes(local_ip, &notes);
         notes
     }
 
@@ -310,7 +310,7 @@
             config_version: version,
             member_count: self.member_count() as u32,
             connection_number: 0,
-            notes: ServerNotes::default(),
+            notes: self.executor.server_notes(),
         }
     }
 
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -111,7 +111,8 @@
     /// Counter of the sender's connections to this peer, to detect late messages of an earlier
     /// connection. Listeners send 0.
     pub connection_number: u32,
-    /// What the sender knows of the backend server beside the receiver. Appended to the message.
+    /// What the daemon that opened the connection knows of the backend server beside the listener, or
+    /// what the listener knows of it. Appended to the message.
     #[serde(skip)]
     pub notes: ServerNotes,
 }
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -169,6 +169,7 @@
         let now = self.state.clock.now();
         let mut selector = self.state.selector.lock();
         selector.set_leaving(address.ip(), hello.is_leaving, now);
+        selector.record_peer_notes(address.ip(), &hello.notes);
         drop(selector);
         self.send_missing_state(address, hello);
         let suspects = self.state.suspects.known_suspects();
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -277,7 +277,7 @@
             PeerFrame::ServerLeaving(notes) => {
                 self.set_leaving(true);
                 if let Some(ip) = self.peer_ip {
-                    listener.state.selector.lock().record_leaving(ip, &notes);
+                    listener.state.selector.lock().record_peer_notes(ip, &notes);
                 }
             }
             PeerFrame::Suspects(records) => listener.state.suspects.merge(&records),
--- a/tests/mesh/leaving_servers.rs
+++ b/tests/mesh/leaving_servers.rs
@@ -130,7 +130,7 @@
     selector.update(&view, clock.now());
     let ip = "10.0.0.1".parse().expect("an address");
     selector.set_leaving(ip, true, clock.now());
-    selector.record_leaving(ip, &notes);
+    selector.record_peer_notes(ip, &notes);
     selector.set_leaving(ip, false, clock.now());
     assert!(!selector.can_reach("s", clock.now()));
     assert_eq!(selector.server_notes(ip), leaving_notes("i-1"));
