Play servers that name limits in the load patterns

One limited server of the deep service: the others take the rest, and more than nine tenths of each route are served. All of them limited: calls of admitted work get slots, at least 0.8 and at most 1.1 of the limits are used, and urgent roots are served more often.

--- a/src/emulator/emulated_daemon.rs
+++ b/src/emulator/emulated_daemon.rs
@@ -12,12 +12,13 @@
             instance_selector::{InstanceSelector, LoadReport},
             load_schedule::LoadSchedule,
             load_summary::LoadSummary,
+            named_limit::{LimitPacer, usable_slots},
             route_table::RouteTable,
             service_times::ServiceTimes,
         },
     },
     emulator::emulated_request::RequestKey,
-    mesh::executor::gate_limits,
+    mesh::executor::{gate_limits, mean_run_time},
 };
 use std::net::IpAddr;
 
@@ -31,6 +32,8 @@
     pub slowness: f64,
     /// Share of the requests that the backend server refuses.
     pub refused_share: f64,
+    /// Keeps the limit that the backend server names.
+    pub limit_pacer: LimitPacer,
     /// Whether the machine cannot be reached.
     pub is_cut: bool,
     /// Gate in front of the backend server.
@@ -68,6 +71,7 @@
             ip,
             slowness: 1.0,
             refused_share: 0.0,
+            limit_pacer: LimitPacer::default(),
             is_cut: false,
             gate: AdmissionGate::new(gate_limits(entry.slots)),
             at_gate: IndexMap::new(),
@@ -83,12 +87,16 @@
     }
 
     /// Returns the load of the backend server.
-    pub fn load(&self) -> LoadReport {
+    pub fn load(&self, now: Instant) -> LoadReport {
+        let slots = self.gate.limit();
+        let limit = self.limit_pacer.limit().map_or(slots, |named| {
+            usable_slots(named, mean_run_time(&self.counts.runs(now)), slots)
+        });
         LoadReport {
             in_flight: self.gate.in_flight(),
             queued: self.gate.queued() as u32,
             queued_calls: self.gate.queued_calls() as u32,
-            limit: self.gate.limit(),
+            limit,
         }
     }
 
@@ -98,7 +106,7 @@
             daemon_id,
             ip: self.ip,
             service: self.service.clone(),
-            load: self.load(),
+            load: self.load(now),
             entered_requests: self.counts.entered_requests(now),
             runs: self.counts.runs(now),
             calls: self.counts.calls(now),
--- a/src/emulator/fleet_emulator.rs
+++ b/src/emulator/fleet_emulator.rs
@@ -9,7 +9,9 @@
             fleet_view::FleetView,
             instance_selector::{InstanceResult, SelectionRequest},
             load_schedule::{PLAN_INTERVAL, regular_interval},
+            named_limit::NamedLimit,
             route_table::RouteTable,
+            server_notes::ServerNotes,
         },
     },
     emulator::{
@@ -18,7 +20,7 @@
         fleet_spec::{FleetChange, FleetSpec},
         load_tally::{LoadTally, RequestEnd},
     },
-    mesh::attempt_history::MAX_REFUSALS,
+    mesh::{attempt_history::MAX_REFUSALS, executor::NESTED_LIMIT_WAIT_DIVISOR},
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -45,6 +47,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd)]
 enum Event {
     WorkDone(RequestKey),
+    /// The named limit of the backend server allows a run.
+    Start(RequestKey),
     Return {
         route: usize,
         entry: usize,
@@ -125,6 +129,7 @@
         match event {
             Event::WorkDone(key) if self.requests.contains_key(key) => self.make_next_call(key),
             Event::WorkDone(_) => {}
+            Event::Start(key) => self.start_run(key),
             Event::Return {
                 route,
                 entry,
@@ -154,6 +159,10 @@
                 FleetChange::Load(factor) => self.load_factor = factor,
                 FleetChange::Slow(index, factor) => self.daemons[index].slowness = factor,
                 FleetChange::Refuse(index, share) => self.daemons[index].refused_share = share,
+                FleetChange::NameLimit(index, rate) => {
+                    let limit = rate.map(|rate| NamedLimit { rate });
+                    self.daemons[index].limit_pacer.observe(limit);
+                }
                 FleetChange::Cut(index) => self.cut(index),
                 FleetChange::RestartAll => self.restart_all(),
             }
@@ -338,7 +347,7 @@
             match decision {
                 GateDecision::Start(gate_key) => {
                     if let Some(key) = daemon.at_gate.get(&gate_key).copied() {
-                        self.start_run(key, index);
+                        self.reserve_start(key, index);
                     }
                 }
                 GateDecision::Shed(gate_key, _) => {
@@ -350,11 +359,42 @@
         }
     }
 
-    fn start_run(&mut self, key: RequestKey, index: usize) {
+    /// Starts a run as soon as the named limit of the backend server allows it, or refuses it.
+    fn reserve_start(&mut self, key: RequestKey, index: usize) {
+        let now = self.clock.now();
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let max_wait = if request.parent.is_some() {
+            request.deadline.saturating_duration_since(now) / NESTED_LIMIT_WAIT_DIVISOR
+        } else {
+            Duration::ZERO
+        };
+        let start = self.daemons[index].limit_pacer.reserve(max_wait, now);
+        match start {
+            Some(start) if start > now => self.schedule(start - now, Event::Start(key)),
+            Some(_) => self.start_run(key),
+            None => {
+                let attempt = request.attempt.as_ref();
+                let gate_key = attempt.map(|attempt| attempt.gate_key);
+                let daemon = &mut self.daemons[index];
+                if let Some(gate_key) = gate_key {
+                    daemon.at_gate.swap_remove(&gate_key);
+                    daemon.gate.finish(gate_key, WorkResult::Refused, now);
+                }
+                self.refuse_attempt(key);
+            }
+        }
+    }
+
+    fn start_run(&mut self, key: RequestKey) {
         let now = self.clock.now();
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
+        let Some(index) = request.attempt.as_ref().map(|attempt| attempt.daemon) else {
+            return;
+        };
         let load = &self.spec.routes[request.route];
         let daemon = &mut self.daemons[index];
         if self.rng.random::<f64>() < daemon.refused_share {
@@ -385,9 +425,15 @@
             return;
         };
         if let Some(attempt) = request.attempt.take() {
-            let load = self.daemons[attempt.daemon].load();
+            let refusing = &self.daemons[attempt.daemon];
+            let load = refusing.load(now);
+            let notes = ServerNotes {
+                named_rate: refusing.limit_pacer.limit().map(|limit| limit.rate),
+                ..ServerNotes::default()
+            };
             let selector = &mut self.daemons[request.entry].selector;
             selector.record_report(attempt.instance, load, None, now);
+            selector.record_notes(attempt.instance, &notes);
             selector.record_result(attempt.instance, InstanceResult::Busy, now);
         }
         if now >= request.deadline || request.tried.len() >= MAX_REFUSALS {
@@ -416,7 +462,11 @@
                 time = Some(daemon.service_times.record(&name, now - started));
             }
         }
-        let load = daemon.load();
+        let load = daemon.load(now);
+        let notes = ServerNotes {
+            named_rate: daemon.limit_pacer.limit().map(|limit| limit.rate),
+            ..ServerNotes::default()
+        };
         let result = if is_successful {
             InstanceResult::Responded
         } else {
@@ -425,6 +475,7 @@
         let selector = &mut self.daemons[request.entry].selector;
         let reported = time.map(|time| (&name, time));
         selector.record_report(attempt.instance, load, reported, now);
+        selector.record_notes(attempt.instance, &notes);
         selector.record_result(attempt.instance, result, now);
         let target = self.spec.routes[request.route].latency_target;
         let end = if !is_successful {
--- a/src/emulator/fleet_spec.rs
+++ b/src/emulator/fleet_spec.rs
@@ -66,6 +66,8 @@
     Slow(usize, f64),
     /// The backend server of an instance refuses this share of the requests.
     Refuse(usize, f64),
+    /// The backend server of an instance names a limit on its requests per second, or withdraws it.
+    NameLimit(usize, Option<f64>),
     /// The machine of an instance cannot be reached, and its callers use other machines.
     Cut(usize),
     /// All daemons lose their state, and all runs end.
--- a/tests/load_patterns/main.rs
+++ b/tests/load_patterns/main.rs
@@ -3,6 +3,7 @@
 
 mod costs_learned_under_load;
 mod large_fleet;
+mod limited_servers;
 mod long_roots_beside_short_calls;
 mod lost_reach;
 mod recovery_after_restart;
