Let only responses to later requests withdraw or raise a named limit

In the soak a limit was named, withdrawn and named again several times within 0.2 s, since responses that the server had prepared before it named the limit arrived later. A lower limit is still in force at once; a higher one or none only with the response to a request that was sent after the last change.

--- a/src/decision/mesh/named_limit.rs
+++ b/src/decision/mesh/named_limit.rs
@@ -65,8 +65,9 @@
 #[derive(Debug, Default)]
 pub struct LimitPacer {
     limit: Option<NamedLimit>,
-    /// Whether a response since the start of this daemon or of the server told the limit.
-    is_observed: bool,
+    /// Time at which the limit changed last by a response; `None` before the first response since the
+    /// start of this daemon or of the server.
+    changed_at: Option<Instant>,
     /// Time at which the next request would start if all were evenly spaced.
     next_start: Option<Instant>,
 }
@@ -77,18 +78,31 @@
         self.limit
     }
 
-    /// Applies the limit that a response names, or `None` if it names none; returns the previous
-    /// one.
-    pub fn observe(&mut self, limit: Option<NamedLimit>) -> Option<NamedLimit> {
-        self.is_observed = true;
-        std::mem::replace(&mut self.limit, limit)
+    /// Applies the limit in the response to a request that was sent at `sent_at`, or `None` if it names
+    /// none; returns whether the limit changed. Responses overtake each other, so a higher limit is
+    /// in force only if its request was sent after the last change.
+    pub fn observe(&mut self, limit: Option<NamedLimit>, sent_at: Instant, now: Instant) -> bool {
+        let is_lower = match (limit, self.limit) {
+            (Some(limit), Some(current)) => limit < current,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        let is_recent = self.changed_at.is_none_or(|at| at <= sent_at);
+        let is_change = limit != self.limit && (is_lower || is_recent);
+        if is_change {
+            self.limit = limit;
+        }
+        if is_change || self.changed_at.is_none() {
+            self.changed_at = Some(now);
+        }
+        is_change
     }
 
     /// Applies a limit that a peer passed on before this daemon was restarted; returns whether it is
     /// in force now. A response of the server is more recent than anything that peers know.
     pub fn adopt(&mut self, limit: NamedLimit) -> bool {
         let is_lower = self.limit.is_none_or(|current| limit < current);
-        if self.is_observed || !is_lower {
+        if self.changed_at.is_some() || !is_lower {
             return false;
         }
         self.limit = Some(limit);
--- a/src/emulator/fleet_emulator.rs
+++ b/src/emulator/fleet_emulator.rs
@@ -161,7 +161,7 @@
                 FleetChange::Refuse(index, share) => self.daemons[index].refused_share = share,
                 FleetChange::NameLimit(index, rate) => {
                     let limit = rate.map(|rate| NamedLimit { rate });
-                    self.daemons[index].limit_pacer.observe(limit);
+                    self.daemons[index].limit_pacer.observe(limit, now, now);
                 }
                 FleetChange::Cut(index) => self.cut(index),
                 FleetChange::RestartAll => self.restart_all(),
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -407,7 +407,7 @@
         let end = match response {
             Ok(response) => {
                 self.crash_monitor.record_response();
-                self.classify_response(call, response).into()
+                self.classify_response(call, response, started).into()
             }
             Err(error) => self.classify_error(call, &error).await,
         };
@@ -486,8 +486,9 @@
         true
     }
 
-    /// Records the limit that a response names. Only a signed response without one withdraws it.
-    fn observe_limit(&self, headers: &HeaderList, is_signed: bool) {
+    /// Records the limit in the response to a request that was sent at `sent_at`. Only a signed
+    /// response without a limit withdraws it.
+    fn observe_limit(&self, headers: &HeaderList, is_signed: bool, sent_at: Instant) {
         let limit = match NamedLimit::decode(headers.all(self.headers.rate_limit)) {
             Ok(None) if !is_signed => return,
             Ok(limit) => limit,
@@ -499,10 +500,12 @@
             }
         };
         self.has_invalid_limit.store(false, Ordering::Relaxed);
-        let previous = self.limit_pacer.lock().observe(limit);
-        if previous == limit {
+        let mut pacer = self.limit_pacer.lock();
+        let previous = pacer.limit();
+        if !pacer.observe(limit, sent_at, self.clock.now()) {
             return;
         }
+        drop(pacer);
         match limit {
             Some(limit) => log::info!(
                 rate = limit.rate,
@@ -596,8 +599,13 @@
         request
     }
 
-    /// Returns the result of a run from the response of the backend server.
-    fn classify_response(&self, call: &CallFrame, response: ServerResponse) -> RunResult {
+    /// Returns the result of a run from the response to the request that was sent at `sent_at`.
+    fn classify_response(
+        &self,
+        call: &CallFrame,
+        response: ServerResponse,
+        sent_at: Instant,
+    ) -> RunResult {
         let ServerResponse { head, body, .. } = response;
         let headers = &head.headers;
         if head.status == 421 {
@@ -613,7 +621,7 @@
         let is_signed = headers.get(self.headers.signature).is_some();
         let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
         if matches_attempt {
-            self.observe_limit(headers, is_signed);
+            self.observe_limit(headers, is_signed, sent_at);
             if headers.text(self.headers.leaving) == Some(LEAVING_VALUE) {
                 self.record_leaving("response");
             }
--- a/tests/mesh/named_limit.rs
+++ b/tests/mesh/named_limit.rs
@@ -121,7 +121,7 @@
         for max_wait in [Duration::ZERO, Duration::from_millis(400)] {
             let clock = ManualClock::new();
             let mut pacer = LimitPacer::default();
-            pacer.observe(Some(NamedLimit { rate }));
+            pacer.observe(Some(NamedLimit { rate }), clock.now(), clock.now());
             let starts = paced_starts(&mut pacer, &clock, Duration::from_secs(30), max_wait);
             for from in &starts {
                 let window = starts
@@ -148,7 +148,11 @@
     let second = Duration::from_secs(1);
     let mut pacer = LimitPacer::default();
     let mut count = |rate: Option<f64>| {
-        pacer.observe(rate.map(|rate| NamedLimit { rate }));
+        pacer.observe(
+            rate.map(|rate| NamedLimit { rate }),
+            clock.now(),
+            clock.now(),
+        );
         paced_starts(&mut pacer, &clock, second, Duration::ZERO).len()
     };
     let unlimited = count(None);
@@ -159,15 +163,36 @@
     }
 }
 
+/// Guards against a limit that is withdrawn or raised by a response that the server sent before it
+/// named the limit, and that arrives later.
+#[test]
+fn overtaken_response_neither_withdraws_nor_raises_a_limit() {
+    let limit = |rate| Some(NamedLimit { rate });
+    let clock = ManualClock::new();
+    let mut pacer = LimitPacer::default();
+    let sent_before = clock.now();
+    clock.advance(Duration::from_millis(10));
+    let named_at = clock.now();
+    assert!(pacer.observe(limit(9.0), sent_before, named_at));
+    assert!(!pacer.observe(None, sent_before, named_at));
+    assert!(!pacer.observe(limit(20.0), sent_before, named_at));
+    assert_eq!(pacer.limit(), limit(9.0));
+    assert!(pacer.observe(limit(7.0), sent_before, named_at));
+    clock.advance(Duration::from_millis(10));
+    assert!(pacer.observe(None, clock.now(), clock.now()));
+    assert_eq!(pacer.limit(), None);
+}
+
 /// Guards against a server that gets all requests again because the daemon beside it was restarted,
 /// and against peers that override what the server itself says.
 #[test]
 fn restarted_daemon_adopts_the_limit_that_peers_know() {
+    let now = Instant::now();
     let mut pacer = LimitPacer::default();
     assert!(pacer.adopt(NamedLimit { rate: 9.0 }));
     assert!(!pacer.adopt(NamedLimit { rate: 12.0 }));
     assert!(pacer.adopt(NamedLimit { rate: 7.0 }));
-    pacer.observe(None);
+    pacer.observe(None, now, now);
     assert!(!pacer.adopt(NamedLimit { rate: 7.0 }));
     assert_eq!(pacer.limit(), None);
     pacer.reset();
