--- a/tests/soak/backend.rs
+++ b/tests/soak/backend.rs
@@ -60,6 +60,8 @@
     mode: Mutex<BackendMode>,
     /// Limit that all responses name, in requests per second.
     limit: Mutex<Option<u32>>,
+    /// Held while the server names limits.
+    pub limit_turn: tokio::sync::Mutex<()>,
     /// Whether all responses announce that the server leaves.
     is_leaving: AtomicBool,
     /// When a request crashed the server, until it is started again.
@@ -86,6 +88,7 @@
             id: Mutex::new(format!("i-{machine}-0")),
             mode: Mutex::new(BackendMode::Normal),
             limit: Mutex::default(),
+            limit_turn: tokio::sync::Mutex::default(),
             is_leaving: AtomicBool::new(false),
             crashed_at: Mutex::default(),
             start_count: AtomicUsize::new(1),
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -426,9 +426,12 @@
     }
 
     /// Lets a backend server name one limit after the other, each for half of `duration`, and then
-    /// withdraw it.
+    /// withdraw it. Does nothing while it names others.
     async fn name_limits(&self, machine: usize, rates: [u32; 2], duration: Duration) {
         let backend = &self.backends[machine];
+        let Ok(_turn) = backend.limit_turn.try_lock() else {
+            return;
+        };
         for rate in rates {
             let begin = Instant::now();
             let instance = backend.id.lock().clone();
