Move what a backend server says of itself out of the executor

ServerState holds the identity, the limit and the leaving. The connection with which the daemon checks whether its server still runs goes to the pool, since the broken one has to be replaced anyway and new connections are dear.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -23,6 +23,7 @@
 pub mod peer_links;
 pub mod peer_listener;
 pub mod sender_connections;
+pub mod server_state;
 pub mod start_sync;
 pub mod store_client;
 pub mod store_contact;
--- a/src/mesh/backend_pool.rs
+++ b/src/mesh/backend_pool.rs
@@ -72,6 +72,15 @@
     pub fn put(&self, connection: ClientConnection, head: &ResponseHead, now: Instant) {
         let stated = head.headers.text("Keep-Alive").and_then(keep_alive_seconds);
         let keep_alive = stated.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs);
+        self.put_for(connection, keep_alive, now);
+    }
+
+    /// Adds a connection to the pool that has carried no request.
+    pub fn put_unused(&self, connection: ClientConnection, now: Instant) {
+        self.put_for(connection, DEFAULT_KEEP_ALIVE, now);
+    }
+
+    fn put_for(&self, connection: ClientConnection, keep_alive: Duration, now: Instant) {
         self.idle.lock().push(IdleConnection {
             connection,
             idle_since: now,
--- a/src/mesh/crash_monitor.rs
+++ b/src/mesh/crash_monitor.rs
@@ -12,6 +12,17 @@
 /// Time within which a server that still runs accepts a connection. It is on the same machine.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// State of the local backend server after the connection of a run broke.
+#[derive(Debug)]
+pub enum ServerCheck {
+    /// The server ended.
+    Crashed(CrashId),
+    /// The server accepted this connection, which carries no request yet.
+    Running(ClientConnection),
+    /// The server neither accepted nor refused a connection in time.
+    Unknown,
+}
+
 /// Tells whether the local backend server ended when a run got no response.
 #[derive(Debug)]
 pub struct CrashMonitor {
@@ -41,19 +52,23 @@
         *self.current.lock() = None;
     }
 
-    /// Returns the crash that ended a run whose connection broke, or `None` if the server still
-    /// accepts connections. A server that only breaks responses off does.
-    pub async fn find_crash(&self) -> Option<CrashId> {
+    /// Finds out why the connection of a run broke. A server that only breaks responses off accepts
+    /// a new connection.
+    pub async fn check(&self) -> ServerCheck {
         let connecting = timeout(CHECK_TIMEOUT, ClientConnection::open(self.backend));
-        let error = connecting.await.ok()?.err()?;
-        if error.kind() != io::ErrorKind::ConnectionRefused {
-            return None;
+        match connecting.await {
+            Ok(Ok(connection)) => ServerCheck::Running(connection),
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                ServerCheck::Crashed(self.record_crash())
+            }
+            _ => ServerCheck::Unknown,
         }
-        let mut current = self.current.lock();
-        let crash = current.get_or_insert_with(|| {
+    }
+
+    fn record_crash(&self) -> CrashId {
+        *self.current.lock().get_or_insert_with(|| {
             self.count.fetch_add(1, Ordering::Relaxed);
             CrashId(rand::random())
-        });
-        Some(*crash)
+        })
     }
 }
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -12,7 +12,6 @@
             crash_suspects::SuspectVerdict,
             instance_selector::LoadReport,
             load_summary::{LoadSummary, RouteRuns},
-            named_limit::{LimitPacer, NamedLimit, usable_slots},
             request_fingerprint::RequestFingerprint,
             server_notes::ServerNotes,
             service_times::ServiceTimes,
@@ -23,17 +22,17 @@
     http1::{
         byte_budget::ByteBudget,
         client_connection::{BodyLimits, ClientConnection, ExchangeError, ServerResponse},
-        header_list::HeaderList,
         message_head::ResponseHead,
     },
     mesh::{
         backend_pool::BackendPool,
         context_headers::ContextHeaders,
-        crash_monitor::CrashMonitor,
+        crash_monitor::{CrashMonitor, ServerCheck},
         peer_frame::{
             CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult,
             UnknownReason,
         },
+        server_state::ServerState,
         suspect_controller::{IsolatedRun, SuspectController},
     },
 };
@@ -42,7 +41,7 @@
     net::IpAddr,
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
-use tokio::{sync::Notify, time::timeout_at};
+use tokio::time::timeout_at;
 
 /// Largest body of a response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
@@ -69,9 +68,6 @@
 /// earlier; this bound concerns only requests with a long deadline.
 const QUEUE_WAIT_MS: u32 = 2_000;
 
-/// Value of the header with which a backend server announces that it leaves.
-const LEAVING_VALUE: &str = "1";
-
 /// Divisor of the remaining time of a nested call that gives its longest wait for a limit that the
 /// backend server names.
 pub const NESTED_LIMIT_WAIT_DIVISOR: u32 = 4;
@@ -86,15 +82,10 @@
     body_limits: BodyLimits,
     service_times: Mutex<ServiceTimes>,
     call_counts: Mutex<CallCounts>,
-    identity: Mutex<BackendIdentity>,
-    limit_pacer: Mutex<LimitPacer>,
-    mean_run_time: Mutex<Duration>,
-    limited_count: AtomicU64,
-    has_invalid_limit: AtomicBool,
+    /// What the backend server says of itself.
+    pub server: ServerState,
     run_count: AtomicU64,
     is_draining: AtomicBool,
-    is_server_leaving: AtomicBool,
-    leaving_notice: Notify,
     crash_monitor: CrashMonitor,
     suspects: Arc<SuspectController>,
 }
@@ -121,15 +112,9 @@
                 .with_budget(Arc::new(ByteBudget::new(RESPONSE_BUDGET_BYTES))),
             service_times: Mutex::default(),
             call_counts: Mutex::default(),
-            identity: Mutex::default(),
-            limit_pacer: Mutex::default(),
-            mean_run_time: Mutex::default(),
-            limited_count: AtomicU64::new(0),
-            has_invalid_limit: AtomicBool::new(false),
+            server: ServerState::default(),
             run_count: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
-            is_server_leaving: AtomicBool::new(false),
-            leaving_notice: Notify::new(),
             crash_monitor: CrashMonitor::new(backend),
             suspects,
         }
@@ -137,9 +122,7 @@
 
     /// Applies the published id, start time and slots of the local backend server.
     pub fn set_published_instance(&self, id: &SmolStr, started_ms: Option<u64>, slots: u32) {
-        if self.identity.lock().set_published(id, started_ms) {
-            self.reset_server_state();
-        }
+        self.server.set_published(id, started_ms);
         self.gate.set_limits(gate_limits(slots));
     }
 
@@ -164,73 +147,14 @@
     /// that requests use at that rate, so that the plan and the selection of peers keep within it.
     pub fn load(&self) -> LoadReport {
         let load = self.gate.load();
-        let named = self.limit_pacer.lock().limit();
-        let limit = named.map_or(load.limit, |named| {
-            usable_slots(named, *self.mean_run_time.lock(), load.limit)
-        });
         LoadReport {
             in_flight: load.in_flight,
             queued: load.queued as u32,
             queued_calls: load.queued_calls as u32,
-            limit,
-        }
-    }
-
-    /// Forgets what the previous backend server at this address said of itself.
-    fn reset_server_state(&self) {
-        self.limit_pacer.lock().reset();
-        self.is_server_leaving.store(false, Ordering::Relaxed);
-    }
-
-    /// Returns whether the backend server has announced that it leaves.
-    pub fn is_server_leaving(&self) -> bool {
-        self.is_server_leaving.load(Ordering::Relaxed)
-    }
-
-    /// Waits until the backend server announces that it leaves; returns what it says of itself.
-    pub async fn server_leaving(&self) -> ServerNotes {
-        self.leaving_notice.notified().await;
-        self.server_notes()
-    }
-
-    fn record_leaving(&self, source: &'static str) {
-        if !self.is_server_leaving.swap(true, Ordering::Relaxed) {
-            log::info!(source = source; "executor: The backend server leaves.");
-            self.leaving_notice.notify_one();
+            limit: self.server.usable_slots(load.limit),
         }
     }
 
-    /// Returns what the backend server says of itself, for the peers.
-    pub fn server_notes(&self) -> ServerNotes {
-        ServerNotes {
-            instance: self.identity.lock().current.clone().unwrap_or_default(),
-            named_rate: self.named_rate(),
-            is_leaving: self.is_server_leaving(),
-            crash: None,
-        }
-    }
-
-    /// Applies what a peer knew of the backend server before this daemon was restarted.
-    pub fn adopt_notes(&self, notes: &ServerNotes) {
-        if notes.is_empty() || !self.identity.lock().adopt(&notes.instance) {
-            return;
-        }
-        if notes.is_leaving {
-            self.record_leaving("peer");
-        }
-        let rate = notes.named_rate.filter(|rate| *rate >= 0.0);
-        if let Some(rate) = rate
-            && self.limit_pacer.lock().adopt(NamedLimit { rate })
-        {
-            log::info!(rate = rate; "executor: A peer knows a limit of the backend server.");
-        }
-    }
-
-    /// Returns the limit that the backend server names, in requests per second.
-    pub fn named_rate(&self) -> Option<f64> {
-        self.limit_pacer.lock().limit().map(|limit| limit.rate)
-    }
-
     /// Returns the number of requests that were sent to the backend server.
     pub fn run_count(&self) -> u64 {
         self.run_count.load(Ordering::Relaxed)
@@ -241,17 +165,12 @@
         self.crash_monitor.count()
     }
 
-    /// Returns the number of requests that were refused because of a limit that the server names.
-    pub fn limited_count(&self) -> u64 {
-        self.limited_count.load(Ordering::Relaxed)
-    }
-
     /// Returns the load summary for the other daemons.
     pub fn load_summary(&self, daemon_id: u64, ip: IpAddr) -> LoadSummary {
         let now = self.clock.now();
         let counts = self.call_counts.lock();
         let runs = counts.runs(now);
-        *self.mean_run_time.lock() = mean_run_time(&runs);
+        self.server.set_mean_run_time(mean_run_time(&runs));
         LoadSummary {
             daemon_id,
             ip,
@@ -288,7 +207,7 @@
         let mean = self.service_times.lock().mean(&call.route);
         let notes = ServerNotes {
             crash,
-            ..self.server_notes()
+            ..self.server.notes()
         };
         ReplyFrame {
             number: call.number,
@@ -306,16 +225,16 @@
             result: RunResult::NotRun(reason),
             load: self.load(),
             service_time_us: None,
-            notes: self.server_notes(),
+            notes: self.server.notes(),
         }
     }
 
     /// Runs a request. If the backend server reports a new id, the request is sent once more: the
     /// daemon has only one backend server, and it belongs to the requested service.
     async fn run(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
-        let previous = self.identity.lock().clone();
+        let previous = self.server.identity();
         let end = self.run_attempt(call, deadline).await;
-        let has_new_id = *self.identity.lock() != previous;
+        let has_new_id = self.server.identity() != previous;
         if end.result == RunResult::NotRun(NotRunReason::OtherInstance) && has_new_id {
             return self.run_attempt(call, deadline).await;
         }
@@ -327,7 +246,7 @@
         if call.service != self.service {
             return NotRunReason::OtherInstance.into();
         }
-        if self.is_draining.load(Ordering::Relaxed) || self.is_server_leaving() {
+        if self.is_draining.load(Ordering::Relaxed) || self.server.is_leaving() {
             return NotRunReason::Leaving.into();
         }
         let permit = match self.admit(call, deadline).await {
@@ -361,7 +280,7 @@
         if !self.wait_for_start(call, deadline).await {
             return Err(NotRunReason::Busy);
         }
-        if self.is_server_leaving() {
+        if self.server.is_leaving() {
             return Err(NotRunReason::Leaving);
         }
         let isolated = match self.suspects.verdict(&call.head, &call.body) {
@@ -395,7 +314,7 @@
     ) -> (RunEnd, WorkResult) {
         let started = self.clock.now();
         let remaining = deadline.saturating_duration_since(started);
-        let expected = self.identity.lock().expected(&call.instance);
+        let expected = self.server.expected_id(&call.instance);
         let mut run = CountedRun::start(self, &call.route);
         self.run_count.fetch_add(1, Ordering::Relaxed);
         let exchange = self.exchange(connection, call, &expected, remaining);
@@ -449,7 +368,14 @@
         if reason != UnknownReason::Broken {
             return None;
         }
-        let crash = self.crash_monitor.find_crash().await?;
+        let crash = match self.crash_monitor.check().await {
+            ServerCheck::Crashed(crash) => crash,
+            ServerCheck::Running(connection) => {
+                self.pool.put_unused(connection, self.clock.now());
+                return None;
+            }
+            ServerCheck::Unknown => return None,
+        };
         let request = RequestFingerprint::new(&call.head, &call.body);
         log::info!(
             attempt:% = call.attempt_id.escape_ascii(),
@@ -472,8 +398,7 @@
         } else {
             Duration::from_millis(call.max_wait_ms.into())
         };
-        let Some(start) = self.limit_pacer.lock().reserve(max_wait, now) else {
-            self.limited_count.fetch_add(1, Ordering::Relaxed);
+        let Some(start) = self.server.reserve_start(max_wait, now) else {
             log::debug!(
                 "executor: Refused {}: the limit of the backend server is reached.",
                 call.attempt_id.escape_ascii()
@@ -486,36 +411,6 @@
         true
     }
 
-    /// Records the limit in the response to a request that was sent at `sent_at`. Only a signed
-    /// response without a limit withdraws it.
-    fn observe_limit(&self, headers: &HeaderList, is_signed: bool, sent_at: Instant) {
-        let limit = match NamedLimit::decode(headers.all(self.headers.rate_limit)) {
-            Ok(None) if !is_signed => return,
-            Ok(limit) => limit,
-            Err(error) => {
-                if !self.has_invalid_limit.swap(true, Ordering::Relaxed) {
-                    log::warn!("executor: Ignored the limit in a response. {error}");
-                }
-                return;
-            }
-        };
-        self.has_invalid_limit.store(false, Ordering::Relaxed);
-        let mut pacer = self.limit_pacer.lock();
-        let previous = pacer.limit();
-        if !pacer.observe(limit, sent_at, self.clock.now()) {
-            return;
-        }
-        drop(pacer);
-        match limit {
-            Some(limit) => log::info!(
-                rate = limit.rate,
-                previous = previous.map(|previous| previous.rate);
-                "executor: The backend server names a limit."
-            ),
-            None => log::info!("executor: The backend server withdraws its limit."),
-        }
-    }
-
     async fn admit(&self, call: &CallFrame, deadline: Instant) -> Result<GatePermit, ShedReason> {
         let expected_time = self.service_times.lock().mean(&call.route);
         let request = GateRequest {
@@ -612,19 +507,16 @@
             // The backend server has restarted, and its new id is not published yet.
             if let Some(id) = headers.text(self.headers.instance) {
                 log::info!("executor: The backend server reports the new id {id}.");
-                if self.identity.lock().set_reported(id) {
-                    self.reset_server_state();
-                }
+                self.server.set_reported(id);
             }
             return RunResult::NotRun(NotRunReason::OtherInstance);
         }
         let is_signed = headers.get(self.headers.signature).is_some();
         let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
         if matches_attempt {
-            self.observe_limit(headers, is_signed, sent_at);
-            if headers.text(self.headers.leaving) == Some(LEAVING_VALUE) {
-                self.record_leaving("response");
-            }
+            let now = self.clock.now();
+            self.server
+                .observe(headers, &self.headers, is_signed, sent_at, now);
         }
         if headers.get(self.headers.not_executed).is_some() {
             return RunResult::NotRun(NotRunReason::Refused);
@@ -677,47 +569,6 @@
     }
 }
 
-/// Id of the local backend server, as published and as reported by itself.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-struct BackendIdentity {
-    published: Option<SmolStr>,
-    started_ms: Option<u64>,
-    current: Option<SmolStr>,
-}
-
-impl BackendIdentity {
-    /// Applies the published id and start time; returns whether another server runs now. An unchanged
-    /// id does not replace the one that the server reported.
-    fn set_published(&mut self, id: &SmolStr, started_ms: Option<u64>) -> bool {
-        let is_published = self.published.as_ref() == Some(id);
-        let previous_start = std::mem::replace(&mut self.started_ms, started_ms);
-        let is_restarted = previous_start
-            .is_some_and(|previous| started_ms.is_some_and(|started_ms| started_ms != previous));
-        if is_published {
-            return is_restarted;
-        }
-        self.published = Some(id.clone());
-        let previous = self.current.replace(id.clone());
-        previous.is_some_and(|previous| previous != *id)
-    }
-
-    /// Applies the id that the backend server reported; returns whether it is another one.
-    fn set_reported(&mut self, id: &str) -> bool {
-        let previous = self.current.replace(id.into());
-        previous.is_some_and(|previous| previous != *id)
-    }
-
-    /// Returns whether `id` is that of the current server; without a current one, it is from now on.
-    fn adopt(&mut self, id: &SmolStr) -> bool {
-        self.current.get_or_insert_with(|| id.clone()) == id
-    }
-
-    /// Returns the id to expect; `requested` is the id in the request.
-    fn expected(&self, requested: &SmolStr) -> SmolStr {
-        self.current.as_ref().unwrap_or(requested).clone()
-    }
-}
-
 /// Counts a run as in flight until it is dropped.
 struct CountedRun<'a> {
     executor: &'a Executor,
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -207,7 +207,7 @@
     /// Waits until the local backend server announces that it leaves, and takes it out of the
     /// selection of this daemon; returns what the server says of itself.
     pub async fn server_leaving(&self) -> ServerNotes {
-        let notes = self.executor.server_leaving().await;
+        let notes = self.executor.server.leaving().await;
         let local_ip = self.settings.peer.ip();
         self.selector.lock().record_peer_notes(local_ip, &notes);
         notes
@@ -306,11 +306,11 @@
         HelloFrame {
             daemon_id: self.daemon_id,
             ip: self.settings.peer.ip(),
-            is_leaving: self.is_leaving() || self.executor.is_server_leaving(),
+            is_leaving: self.is_leaving() || self.executor.server.is_leaving(),
             config_version: version,
             member_count: self.member_count() as u32,
             connection_number: 0,
-            notes: self.executor.server_notes(),
+            notes: self.executor.server.notes(),
         }
     }
 
@@ -329,11 +329,11 @@
             load_interval: regular_interval(self.member_count()),
             plan_daemons: self.plan().daemons(),
             oldest_summary: self.plan().oldest_summary(),
-            named_rate: self.executor.named_rate(),
+            named_rate: self.executor.server.named_rate(),
             runs: self.executor.run_count(),
-            limited_runs: self.executor.limited_count(),
+            limited_runs: self.executor.server.limited_count(),
             crashes: self.executor.crash_count(),
-            is_server_leaving: self.executor.is_server_leaving(),
+            is_server_leaving: self.executor.server.is_leaving(),
         };
         self.metrics.text(self.executor.load(), &view)
     }
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -299,7 +299,11 @@
             return false;
         }
         self.sender_id = Some(hello.daemon_id);
-        self.listener.state.executor.adopt_notes(&hello.notes);
+        self.listener
+            .state
+            .executor
+            .server
+            .adopt_notes(&hello.notes);
         let now = self.listener.state.clock.now();
         let mut selector = self.listener.state.selector.lock();
         selector.set_leaving(hello.ip, hello.is_leaving, now);
--- a/tests/mesh/leaving_servers.rs
+++ b/tests/mesh/leaving_servers.rs
@@ -3,7 +3,6 @@
 use crate::{
     end_to_end::{Fleet, request, send_request},
     fleet_view::entry,
-    stand_ins::loopback,
 };
 use bytes::BytesMut;
 use skylarkstream::{
@@ -15,10 +14,9 @@
             server_notes::ServerNotes,
         },
     },
-    mesh::{executor::Executor, peer_frame::PeerFrame, suspect_controller::SuspectController},
-    platform::context_names::context_headers,
+    mesh::{peer_frame::PeerFrame, server_state::ServerState},
 };
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 fn leaving_notes(id: &str) -> ServerNotes {
     ServerNotes {
@@ -140,19 +138,16 @@
 /// server that gets none because of its predecessor.
 #[test]
 fn restarted_daemon_refuses_runs_until_another_server_is_published() {
-    let address = loopback(1, 80);
-    let clock = Arc::new(ManualClock::new());
-    let suspects = Arc::new(SuspectController::new(Arc::clone(&clock) as Arc<dyn Clock>));
-    let executor = Executor::new("s".into(), address, context_headers(), suspects, clock);
-    executor.adopt_notes(&leaving_notes("i-1"));
-    assert!(executor.is_server_leaving());
-    executor.set_published_instance(&"i-1".into(), Some(5), 20);
-    assert!(executor.is_server_leaving());
-    executor.set_published_instance(&"i-2".into(), Some(9), 20);
-    assert!(!executor.is_server_leaving());
-    executor.adopt_notes(&leaving_notes("i-1"));
-    assert!(!executor.is_server_leaving());
-    executor.adopt_notes(&leaving_notes("i-2"));
-    executor.set_published_instance(&"i-2".into(), Some(10), 20);
-    assert!(!executor.is_server_leaving());
+    let server = ServerState::default();
+    server.adopt_notes(&leaving_notes("i-1"));
+    assert!(server.is_leaving());
+    server.set_published(&"i-1".into(), Some(5));
+    assert!(server.is_leaving());
+    server.set_published(&"i-2".into(), Some(9));
+    assert!(!server.is_leaving());
+    server.adopt_notes(&leaving_notes("i-1"));
+    assert!(!server.is_leaving());
+    server.adopt_notes(&leaving_notes("i-2"));
+    server.set_published(&"i-2".into(), Some(10));
+    assert!(!server.is_leaving());
 }
