--- a/tests/mesh/crash_suspects.rs
+++ b/tests/mesh/crash_suspects.rs
@@ -13,7 +13,7 @@
             request_fingerprint::RequestFingerprint,
         },
     },
-    mesh::peer_frame::PeerFrame,
+    mesh::{mesh_settings::MeshSettings, peer_frame::PeerFrame},
 };
 use std::{
     sync::Arc,
@@ -108,6 +108,36 @@
     assert_eq!(table.verdict(REQUEST, clock.now()), SuspectVerdict::Free);
 }
 
+/// Guards against a request that an operator cannot release, and against settings with a fingerprint
+/// that no request can have.
+#[test]
+fn released_request_is_free_and_stays_so() {
+    let now = Instant::now();
+    let mut table = SuspectTable::default();
+    for crash in 1..=3 {
+        table.record_crash(REQUEST, CrashId(crash), now);
+    }
+    table.set_released(vec![REQUEST]);
+    assert_eq!(table.verdict(REQUEST, now), SuspectVerdict::Free);
+    table.merge(&record(&[1, 2, 3, 4], &[]), now);
+    assert_eq!(table.verdict(REQUEST, now), SuspectVerdict::Free);
+    let settings = |released: &str| {
+        let text = format!(
+            "instance = \"d\"\ndata_centre = \"a\"\nservice = \"s\"\nbackend = \"127.0.0.1:1\"\n\
+             outbound = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\nreadiness = \"127.0.0.1:4\"\n\
+             store = \"127.0.0.1:5\"\ngrace_s = 6.0\nreleased_requests = [\"{released}\"]\n"
+        );
+        MeshSettings::from_bytes(text.as_bytes())
+    };
+    let fingerprint = REQUEST.to_string();
+    let released = settings(&fingerprint).map(|settings| settings.released_requests);
+    assert_eq!(released.expect("settings"), [REQUEST]);
+    for invalid in ["", "7", "000000000000000g", "00000000000000007"] {
+        let error = settings(invalid).expect_err("invalid settings").to_string();
+        assert!(error.contains("fingerprint"), "{error}");
+    }
+}
+
 /// Guards against memory that grows with the requests that run when servers crash.
 #[test]
 fn records_are_bounded_and_keep_the_worst_suspects() {
