Do not run a regression round of the soak twice

Seed 13 of a range ran at the same time as the regression round of that seed. Both use the same folder; when one ended without a violation it removed the settings of the other, whose daemons then exited with status 1 at their restart (11 violations, 3,293 requests instead of about 7,400).

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -152,7 +152,11 @@
                 daemons,
                 checks_time_bounds: true,
             });
-            let rounds = regression_rounds(true).chain(rounds);
+            // Rounds with the same seed and duration would share a folder.
+            let is_new = |round: &SoakRound| {
+                !REGRESSION_ROUNDS.contains(&(round.seed, round.duration.as_secs()))
+            };
+            let rounds = regression_rounds(true).chain(rounds.filter(is_new));
             (rounds.collect::<Vec<_>>(), env_or_default("SOAK_JOBS", 2))
         }
         None => {
