--- a/tests/mesh/end_to_end.rs
+++ b/tests/mesh/end_to_end.rs
@@ -153,6 +153,18 @@
     read_message(&mut stream).await.unwrap_or_default()
 }
 
+/// Sends requests to both daemons in turn; returns how many of them succeeded.
+pub async fn send_requests(fleet: &Fleet, count: usize) -> usize {
+    let mut served = 0;
+    for number in 0..count {
+        let outbound = fleet.outbound[number % fleet.outbound.len()];
+        let text = request("/safe/x", &format!("a{number}"));
+        let response = send_request(outbound, &text).await;
+        served += usize::from(response.starts_with("HTTP/1.1 200"));
+    }
+    served
+}
+
 /// Guards against lost or changed responses, a `Caller-Service` header that is copied from the
 /// caller, and requests that are forwarded without a deadline or an expected instance.
 #[tokio::test]
--- a/tests/mesh/leaving_servers.rs
+++ b/tests/mesh/leaving_servers.rs
@@ -1,7 +1,7 @@
 //! Backend servers that announce in their responses that they leave.
 
 use crate::{
-    end_to_end::{Fleet, request, send_request},
+    end_to_end::{Fleet, send_requests},
     fleet_view::entry,
 };
 use bytes::BytesMut;
@@ -27,18 +27,6 @@
     }
 }
 
-/// Sends requests through both daemons in turn; returns how many of them succeeded.
-async fn send_requests(fleet: &Fleet, count: usize) -> usize {
-    let mut served = 0;
-    for number in 0..count {
-        let outbound = fleet.outbound[number % fleet.outbound.len()];
-        let text = request("/safe/x", &format!("a{number}"));
-        let response = send_request(outbound, &text).await;
-        served += usize::from(response.starts_with("HTTP/1.1 200"));
-    }
-    served
-}
-
 /// Guards against requests to a server after a response in which it announced that it leaves.
 #[tokio::test]
 async fn server_that_announces_its_leaving_gets_no_more_requests() {
--- a/tests/mesh/named_limit.rs
+++ b/tests/mesh/named_limit.rs
@@ -1,6 +1,6 @@
 //! Backend servers that name a limit on their requests, change it and withdraw it.
 
-use crate::end_to_end::{Fleet, request, send_request};
+use crate::end_to_end::{Fleet, send_requests};
 use bytes::BytesMut;
 use skylarkstream::{
     decision::{
@@ -56,18 +56,6 @@
     });
 }
 
-/// Sends requests to both daemons in turn; returns how many of them succeeded.
-async fn send_requests(fleet: &Fleet, count: usize) -> usize {
-    let mut served = 0;
-    for number in 0..count {
-        let outbound = fleet.outbound[number % fleet.outbound.len()];
-        let text = request("/safe/x", &format!("a{number}"));
-        let response = send_request(outbound, &text).await;
-        served += usize::from(response.starts_with("HTTP/1.1 200"));
-    }
-    served
-}
-
 /// Guards against a server that gets more requests than the limit that it names, summed over the
 /// daemons that passed it on, and against requests that fail although another server has room.
 #[tokio::test]
