Identify callers by their keys and bound organisations by allotments

The entry identifies the organisation of a caller, refuses unknown and missing keys with 401, and replaces the key by the name of the organisation. Daemons tell each other the demand of each organisation with their load and grant the share of it that the allotment covers. Configurations are checked whole. An executor identifies callers for entries of earlier builds. Without organisations no byte is added.

Allotments by what was granted: not measured yet.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -8,6 +8,7 @@
 pub mod membership;
 pub mod mesh;
 pub mod once;
+pub mod organisation;
 pub mod pause_detector;
 pub mod profile;
 pub mod request_context;
--- a/src/decision/mesh/route_table.rs
+++ b/src/decision/mesh/route_table.rs
@@ -1,6 +1,12 @@
 //! Route table with lookup by host and path prefix.
 
-use crate::common::*;
+use crate::{
+    common::*,
+    decision::organisation::{
+        organisation_spec::OrganisationSpec, organisation_table::OrganisationTable,
+        priority_ranks::PriorityRanks,
+    },
+};
 use slotmap::{SlotMap, new_key_type};
 
 new_key_type! {
@@ -51,6 +57,8 @@
     pub max_attempts: u32,
     /// Priority of the route; 0 is the most important.
     pub priority: u8,
+    /// Whether callers need no key although the configuration has organisations.
+    pub is_open: bool,
     /// Services that run the requests.
     pub targets: Vec<WeightedTarget>,
 }
@@ -88,6 +96,8 @@
     routes: SlotMap<RouteKey, RouteSpec>,
     by_host: IndexMap<SmolStr, Vec<RouteKey>>,
     by_name: IndexMap<SmolStr, RouteKey>,
+    organisations: Option<OrganisationTable>,
+    ranks: PriorityRanks,
 }
 
 impl RouteTable {
@@ -112,9 +122,36 @@
             routes,
             by_host,
             by_name,
+            organisations: None,
+            ranks: PriorityRanks::default(),
         }
     }
 
+    /// Puts the organisations of the configuration into the table.
+    pub fn with_organisations(mut self, organisations: OrganisationTable) -> Self {
+        let all = organisations.organisations();
+        let priorities = all.map(|organisation| organisation.priority);
+        let keyed = self.routes.values().filter(|route| !route.is_open);
+        self.ranks = PriorityRanks::new(priorities, keyed.map(|route| route.priority));
+        self.organisations = Some(organisations);
+        self
+    }
+
+    /// Returns the organisations, if the configuration has any.
+    pub fn organisations(&self) -> Option<&OrganisationTable> {
+        self.organisations.as_ref()
+    }
+
+    /// Returns the rank of a request by the priorities of its organisation and of its route; 0 is the
+    /// most important. Without organisations, it is the priority of the route.
+    pub fn rank(&self, organisation: Option<&OrganisationSpec>, route: &RouteSpec) -> u8 {
+        if self.organisations.is_none() {
+            return route.priority;
+        }
+        let priority = organisation.map(|organisation| organisation.priority);
+        self.ranks.rank(priority, route.priority)
+    }
+
     /// Returns the version of the configuration.
     pub fn version(&self) -> RouteVersion {
         self.version
@@ -145,9 +182,19 @@
         self.by_name.get(name).map(|key| &self.routes[*key])
     }
 
+    /// Returns the route with a key of this table.
+    pub fn route(&self, key: RouteKey) -> &RouteSpec {
+        &self.routes[key]
+    }
+
+    /// Returns the route that [`Self::find_key`] finds.
+    pub fn find(&self, host: &str, target: &str) -> Option<&RouteSpec> {
+        self.find_key(host, target).map(|key| self.route(key))
+    }
+
     /// Returns the route of the host with the longest prefix of the path in `target`. The port of
     /// the host, and the query and fragment of the target, are ignored.
-    pub fn find(&self, host: &str, target: &str) -> Option<&RouteSpec> {
+    pub fn find_key(&self, host: &str, target: &str) -> Option<RouteKey> {
         let name = host.split(':').next().unwrap_or_default();
         let path = target.split(['?', '#']).next().unwrap_or_default();
         let keys = match self.by_host.get(name) {
@@ -155,8 +202,8 @@
             None => self.by_host.get(name.to_ascii_lowercase().as_str())?,
         };
         keys.iter()
-            .map(|key| &self.routes[*key])
-            .find(|route| path.starts_with(route.prefix.as_str()))
+            .copied()
+            .find(|key| path.starts_with(self.routes[*key].prefix.as_str()))
     }
 }
 
--- a/src/emulator/fleet_spec.rs
+++ b/src/emulator/fleet_spec.rs
@@ -86,6 +86,7 @@
             latency_target: load.latency_target,
             max_attempts: 2,
             priority: load.priority,
+            is_open: false,
             targets: vec![WeightedTarget {
                 service: load.service.into(),
                 weight: 1,
--- a/src/mesh/caller_response.rs
+++ b/src/mesh/caller_response.rs
@@ -26,6 +26,17 @@
     NoConfig,
     /// No route matches.
     NoRoute,
+    /// The request has no key of an organisation.
+    MissingKey,
+    /// No organisation holds the key of the request.
+    UnknownKey,
+    /// The configuration has not been confirmed recently enough to accept keys.
+    OutdatedKeys,
+    /// The allotment of the organisation is used up.
+    OverAllotment {
+        /// Time until a request of the organisation may be admitted here.
+        wait: Duration,
+    },
     /// No instance of the service is available for the request.
     NoInstance,
     /// The instances that were tried have no free slot or cannot be reached.
@@ -59,6 +70,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoConfig
+            | Self::OutdatedKeys
             | Self::NoInstance
             | Self::Busy
             | Self::Shed
@@ -67,6 +79,8 @@
             | Self::CrashSuspect
             | Self::Expired => 503,
             Self::NoRoute => 404,
+            Self::MissingKey | Self::UnknownKey => 401,
+            Self::OverAllotment { .. } => 429,
             Self::Lost => 502,
             Self::Timeout => 504,
             Self::Malformed => 400,
@@ -81,6 +95,10 @@
         match self {
             Self::NoConfig => "no-config",
             Self::NoRoute => "no-route",
+            Self::MissingKey => "missing-key",
+            Self::UnknownKey => "unknown-key",
+            Self::OutdatedKeys => "outdated-keys",
+            Self::OverAllotment { .. } => "over-allotment",
             Self::NoInstance => "no-instance",
             Self::Busy => "busy",
             Self::Shed => "shed",
@@ -97,6 +115,12 @@
         }
     }
 
+    /// Returns whether the response promises that the request was not run, and asks the caller to
+    /// return.
+    pub fn is_refusal(self) -> bool {
+        matches!(self.status(), 429 | 503)
+    }
+
     /// Returns whether an admitted request failed since the service had no slot for it in time.
     pub fn is_overload(self) -> bool {
         matches!(self, Self::Busy | Self::Expired)
--- a/src/mesh/context_headers.rs
+++ b/src/mesh/context_headers.rs
@@ -23,4 +23,8 @@
     pub leaving: &'static str,
     /// Service of the machine on which the request originates.
     pub caller_service: &'static str,
+    /// Key of the caller's organisation.
+    pub api_key: &'static str,
+    /// Name of the caller's organisation, for backend servers.
+    pub organisation: &'static str,
 }
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -7,19 +7,21 @@
         crash_suspects::SuspectVerdict,
         instance_selector::{InstanceKey, InstanceResult, SelectedInstance, SelectionRequest},
         request_fingerprint::RequestFingerprint,
-        route_table::{RouteSpec, RunSemantics},
+        route_table::{RouteSpec, RouteTable, RunSemantics},
     },
     http1::message_head::RequestHead,
     mesh::{
         attempt_history::{AttemptHistory, MAX_REFUSALS, describe_result, instance_result},
         caller_response::{CallerRequest, CallerResponse, LocalReason},
         fleet_state::FleetState,
+        forwarded_head,
         peer_frame::{CallFrame, NESTED_CLASS, ReplyFrame, RunResponse},
         peer_link::CallResult,
         peer_links::PeerLinks,
+        resolved_request::ResolvedRequest,
     },
 };
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use smol_str::format_smolstr;
 use tokio::time::timeout_at;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -30,8 +32,8 @@
 /// Longest `Retry-After` time of a request that is refused because there is no configuration yet.
 const DEFAULT_MAX_RETRY_AFTER: Duration = Duration::from_millis(600);
 
-/// Highest route priority value with a class level of its own; greater values share that level.
-const MAX_PRIORITY: u8 = 5;
+/// Greatest rank with a class level of its own; greater ones share that level.
+const MAX_PRIORITY: u8 = 6;
 
 /// Time after the deadline of a request in which the executor can still report that it was not run,
 /// so that the request is refused instead of timed out.
@@ -50,14 +52,19 @@
 /// Longest `Retry-After` time, as a share of the latency target of the route.
 const RETRY_AFTER_TARGET_SHARE: f64 = 0.5;
 
+/// Shortest and longest time until the next token of an allotment that a refused caller is told.
+const MIN_ALLOTMENT_WAIT: Duration = Duration::from_millis(100);
+const MAX_ALLOTMENT_WAIT: Duration = Duration::from_secs(10);
+
 /// Proxies requests of callers to instances of the service that their route names.
 pub struct EntryProxy {
     state: Arc<FleetState>,
     links: Arc<PeerLinks>,
 }
 
-/// Admitted request with its route, service and admission plan.
+/// Admitted request with its route, caller, service and admission plan.
 struct AdmittedRequest<'a> {
+    resolved: &'a ResolvedRequest,
     route: &'a RouteSpec,
     service: SmolStr,
     method: SmolStr,
@@ -87,16 +94,23 @@
     }
 
     /// Creates a local response. A refusal asks the caller to retry after a random time in the
-    /// second half of `max_retry_after`.
+    /// second half of `max_retry_after`; one by an allotment, after the time until its next token and
+    /// at most as long again, so that callers do not return together.
     pub fn local_response(
         &self,
         reason: LocalReason,
         attempt_id: &[u8],
         max_retry_after: Duration,
     ) -> CallerResponse {
-        let is_refusal = reason.status() == 503;
-        let retry_after =
-            is_refusal.then(|| max_retry_after.mul_f64(0.5 + 0.5 * rand::random::<f64>()));
+        let retry_after = match reason {
+            LocalReason::OverAllotment { wait } => {
+                let wait = wait.max(MIN_ALLOTMENT_WAIT).min(MAX_ALLOTMENT_WAIT);
+                Some(wait.mul_f64(1.0 + rand::random::<f64>()))
+            }
+            reason => reason
+                .is_refusal()
+                .then(|| max_retry_after.mul_f64(0.5 + 0.5 * rand::random::<f64>())),
+        };
         CallerResponse::local(reason, retry_after, attempt_id, &self.state.headers)
     }
 
@@ -104,8 +118,12 @@
     pub async fn serve(&self, request: CallerRequest) -> CallerResponse {
         let attempt_id = request.head.headers.get(self.state.headers.attempt);
         let attempt_id = Bytes::copy_from_slice(attempt_id.unwrap_or_default());
-        let result = self.handle_request(&request, &attempt_id).await;
-        self.record_result(&request, &attempt_id, &result);
+        let resolved = self.resolve(&request.head);
+        let result = match &resolved {
+            Ok(resolved) => self.handle_request(&request, &attempt_id, resolved).await,
+            Err(reason) => Err((*reason).into()),
+        };
+        self.record_result(&request, &attempt_id, resolved.as_ref().ok(), &result);
         match result {
             Ok(response) => CallerResponse::forwarded(response),
             Err(error) => self.local_response(error.reason, &attempt_id, error.max_retry_after),
@@ -117,6 +135,7 @@
         &self,
         request: &CallerRequest,
         attempt_id: &[u8],
+        resolved: Option<&ResolvedRequest>,
         result: &Result<RunResponse, RequestFailure>,
     ) {
         let state = &self.state;
@@ -128,22 +147,21 @@
             Ok(response) => format_smolstr!("{}", response.status),
             Err(failure) => SmolStr::new_static(failure.reason.name()),
         };
-        let routes = state.routes();
-        let host = request.head.headers.text("Host").unwrap_or_default();
-        let route = routes
-            .as_ref()
-            .and_then(|routes| routes.find(host, &request.head.target));
-        let name = route.map_or(SmolStr::new_static("none"), |route| route.name.clone());
+        let name = resolved.map_or(SmolStr::new_static("none"), |resolved| {
+            resolved.route().name.clone()
+        });
+        let organisation = resolved.and_then(ResolvedRequest::organisation);
         let is_served = matches!(result, Ok(response) if response.status < 500);
         let level = log_level(is_served);
         if log::log_enabled!(level) {
             let plan = state.plan();
             let planned = plan.route(&name);
-            let version = routes.as_ref().map_or(0, |routes| routes.version().0);
+            let version = state.routes().map_or(0, |routes| routes.version().0);
             log::log!(
                 level,
                 attempt:% = attempt_id.escape_ascii(),
                 route:% = name,
+                organisation = organisation.map(|organisation| organisation.name.as_str()),
                 target:% = request.head.target,
                 end:% = result_label,
                 time_ms = time.as_millis() as u64,
@@ -155,18 +173,32 @@
             );
         }
         state.metrics.count_request(&name, &result_label, time);
+        if let Some(organisation) = organisation {
+            let is_granted = !matches!(
+                result,
+                Err(RequestFailure {
+                    reason: LocalReason::OverAllotment { .. },
+                    ..
+                })
+            );
+            let metrics = &state.metrics;
+            metrics.count_organisation_request(&organisation.name, is_granted);
+        }
+    }
+
+    /// Finds the route of a request, and the organisation of its caller.
+    fn resolve(&self, head: &RequestHead) -> Result<ResolvedRequest, LocalReason> {
+        let routes: Arc<RouteTable> = self.state.routes().ok_or(LocalReason::NoConfig)?;
+        ResolvedRequest::new(routes, head, &self.state.headers).ok_or(LocalReason::NoRoute)
     }
 
     async fn handle_request(
         &self,
         request: &CallerRequest,
         attempt_id: &Bytes,
+        resolved: &ResolvedRequest,
     ) -> Result<RunResponse, RequestFailure> {
-        let routes = self.state.routes().ok_or(LocalReason::NoConfig)?;
-        let host = request.head.headers.text("Host").unwrap_or_default();
-        let route = routes
-            .find(host, &request.head.target)
-            .ok_or(LocalReason::NoRoute)?;
+        let route = resolved.route();
         let remaining = self.remaining_time(&request.head, route);
         let max_retry_after = remaining
             .mul_f64(RETRY_AFTER_SHARE)
@@ -180,7 +212,7 @@
         let executor = &self.state.executor;
         executor.count_entered_request(&route.name);
         let deadline = request.received + remaining;
-        let serving = self.admit_and_run(request, attempt_id, route, plan, deadline);
+        let serving = self.admit_and_run(request, attempt_id, resolved, plan, deadline);
         let result = serving.await;
         if is_nested {
             executor.count_call_end(&route.name, request.received);
@@ -196,16 +228,45 @@
         &self,
         request: &CallerRequest,
         attempt_id: &Bytes,
-        route: &RouteSpec,
+        resolved: &ResolvedRequest,
         plan: Arc<AdmissionPlan>,
         deadline: Instant,
     ) -> Result<RunResponse, LocalReason> {
+        let route = resolved.route();
+        let organisation = resolved.identity()?;
+        if organisation.is_some() && !self.state.accepts_keys() {
+            return Err(LocalReason::OutdatedKeys);
+        }
         if !self.state.is_running_until(deadline) {
             return Err(LocalReason::Leaving);
         }
         if !self.state.can_reach_needed_services(&route.name) {
             return Err(LocalReason::NoInstance);
         }
+        if let Some(organisation) = organisation {
+            self.state.take_allotment(organisation)?;
+        }
+        let running = self.run_admitted(request, attempt_id, resolved, plan, deadline);
+        let result = running.await;
+        if let Some(organisation) = organisation
+            && result.as_ref().is_err_and(|reason| reason.is_refusal())
+        {
+            let mut allotments = self.state.allotments.lock();
+            allotments.give_back(&organisation.name, self.state.clock.now());
+        }
+        result
+    }
+
+    /// Serves a request within the allotment of its organisation, unless the plan refuses it.
+    async fn run_admitted(
+        &self,
+        request: &CallerRequest,
+        attempt_id: &Bytes,
+        resolved: &ResolvedRequest,
+        plan: Arc<AdmissionPlan>,
+        deadline: Instant,
+    ) -> Result<RunResponse, LocalReason> {
+        let route = resolved.route();
         let is_nested = plan.route(&route.name).is_some_and(|plan| plan.is_nested);
         if !is_nested && !self.is_admitted(request, route, &plan) {
             return Err(LocalReason::Shed);
@@ -213,12 +274,13 @@
         let service = self.state.traffic_split.lock().select(route);
         let service = service.ok_or(LocalReason::NoInstance)?;
         let admitted = AdmittedRequest {
-            head: self.forwarded_head(&request.head),
+            head: self.forwarded_head(&request.head, resolved),
             method: request.head.method.clone(),
             attempt_id: attempt_id.clone(),
             body: request.body.clone(),
             deadline,
             service,
+            resolved,
             route,
             plan,
             is_nested,
@@ -293,6 +355,10 @@
                 if is_granted {
                     history.granted += 1;
                     state.metrics.count_retry();
+                    if let Some(organisation) = request.resolved.organisation() {
+                        let mut allotments = state.allotments.lock();
+                        allotments.take_repeat(&organisation.name, now);
+                    }
                 }
                 if !is_granted {
                     let mut selector = state.selector.lock();
@@ -455,7 +521,7 @@
             class: if request.is_nested {
                 NESTED_CLASS
             } else {
-                NESTED_CLASS + 1 + request.route.priority.min(MAX_PRIORITY)
+                NESTED_CLASS + 1 + request.resolved.rank().min(MAX_PRIORITY)
             },
             rank: (xxh3_64(&request.attempt_id) >> 48) as u16,
             is_marked_retry: false,
@@ -467,6 +533,7 @@
             attempt_id: request.attempt_id.clone(),
             head: request.head.clone(),
             body: request.body.clone(),
+            caller: request.resolved.caller(),
         }
     }
 
@@ -481,35 +548,25 @@
     }
 
     /// Returns the request line and the header fields that are forwarded to the backend server.
-    fn forwarded_head(&self, head: &RequestHead) -> Bytes {
+    fn forwarded_head(&self, head: &RequestHead, resolved: &ResolvedRequest) -> Bytes {
         let headers = &self.state.headers;
-        let replaced = [
+        let mut dropped = vec![
             headers.deadline_ms,
             headers.expected_instance,
             headers.caller_service,
             "Expect",
         ];
-        let is_dropped = |name: &[u8]| {
-            replaced
-                .iter()
-                .any(|field| name.eq_ignore_ascii_case(field.as_bytes()))
-        };
-        let mut lines = BytesMut::with_capacity(512);
-        lines.put_slice(head.method.as_bytes());
-        lines.put_u8(b' ');
-        lines.put_slice(head.target.as_bytes());
-        lines.put_slice(b" HTTP/1.1\r\n");
-        for (name, value) in head.headers.end_to_end(is_dropped) {
-            lines.put_slice(name);
-            lines.put_slice(b": ");
-            lines.put_slice(value);
-            lines.put_slice(b"\r\n");
+        if resolved.has_organisations() {
+            dropped.extend([headers.api_key, headers.organisation]);
         }
-        lines.put_slice(headers.caller_service.as_bytes());
-        lines.put_slice(b": ");
-        lines.put_slice(self.state.settings.service.as_bytes());
-        lines.put_slice(b"\r\n");
-        lines.freeze()
+        let service = &self.state.settings.service;
+        let organisation = resolved.organisation();
+        let added = [Some((headers.caller_service, service.as_str()))].into_iter();
+        let added =
+            added
+                .chain([organisation
+                    .map(|organisation| (headers.organisation, organisation.name.as_str()))]);
+        forwarded_head::encode(head, &dropped, added.flatten())
     }
 }
 
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -220,9 +220,14 @@
 
     /// Returns the reply to a request that is refused without a run.
     pub fn refusal_reply(&self, number: u64, reason: NotRunReason) -> ReplyFrame {
+        self.result_reply(number, RunResult::NotRun(reason))
+    }
+
+    /// Returns the reply to a request that was not sent to the backend server.
+    pub fn result_reply(&self, number: u64, result: RunResult) -> ReplyFrame {
         ReplyFrame {
             number,
-            result: RunResult::NotRun(reason),
+            result,
             load: self.load(),
             service_time_us: None,
             notes: self.server.notes(),
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -19,8 +19,13 @@
             traffic_split::TrafficSplit,
             update_gap::UpdateGap,
         },
+        organisation::{
+            allotment_ledger::AllotmentLedger, config_currency::ConfigCurrency,
+            organisation_spec::OrganisationSpec,
+        },
     },
     mesh::{
+        caller_response::LocalReason,
         context_headers::ContextHeaders,
         executor::Executor,
         mesh_metrics::{MeshMetrics, ViewReport},
@@ -62,6 +67,8 @@
     pub traffic_split: Mutex<TrafficSplit>,
     /// Share of the fleet's retry budget that this daemon may spend.
     pub retry_budget: Mutex<FleetRetryBudget>,
+    /// Allotments of the organisations.
+    pub allotments: Mutex<AllotmentLedger>,
     /// Metrics.
     pub metrics: MeshMetrics,
     /// Admission of root requests.
@@ -72,6 +79,7 @@
     pub load_due: Notify,
     store_contact: Mutex<StoreContact>,
     update_gap: Mutex<UpdateGap>,
+    config_currency: Mutex<ConfigCurrency>,
     planner: Mutex<AdmissionPlanner>,
     plan: Mutex<Arc<AdmissionPlan>>,
     latest_load: Mutex<Option<Arc<LoadFrame>>>,
@@ -139,6 +147,12 @@
             selector: Mutex::new(selector),
             traffic_split: Mutex::new(TrafficSplit::new(rand::random())),
             retry_budget: Mutex::new(FleetRetryBudget::new(settings.budget, clock.now())),
+            allotments: Mutex::new(AllotmentLedger::new(
+                settings.allotment,
+                rand::random(),
+                clock.now(),
+            )),
+            config_currency: Mutex::new(ConfigCurrency::new(settings.keys)),
             metrics: MeshMetrics::new(),
             entry_admission: Mutex::default(),
             planner: Mutex::default(),
@@ -216,6 +230,8 @@
     /// Applies the settings that can change while the daemon runs.
     pub fn reload(&self, settings: &MeshSettings) {
         self.retry_budget.lock().set_bounds(settings.budget);
+        self.allotments.lock().set_bounds(settings.allotment);
+        self.config_currency.lock().set_rules(settings.keys);
         self.suspects
             .set_released(settings.released_requests.clone());
         let is_fully_applied = settings.backend == self.settings.backend
@@ -366,10 +382,30 @@
             .record_status(peer_id, &load.store_status, now);
         let version = self.routes().map_or(0, |routes| routes.version().0);
         let is_behind = load.store_status.config_version > version;
+        if load.store_status.is_reading && !is_behind {
+            self.config_currency.lock().confirm(now);
+        }
+        if let Some(demand) = &load.demand {
+            let ip = load.summary.ip;
+            self.allotments.lock().record_peer(ip, demand, now);
+        }
         let mut gap = self.update_gap.lock();
         gap.needs_full_sync(load.store_status.entries_revision, is_behind, now)
     }
 
+    /// Returns whether the configuration is recent enough to accept the keys in it.
+    pub fn accepts_keys(&self) -> bool {
+        let currency = self.config_currency.lock();
+        currency.accepts_keys(self.clock.now())
+    }
+
+    /// Takes a request of an organisation from its allotment.
+    pub fn take_allotment(&self, organisation: &OrganisationSpec) -> Result<(), LocalReason> {
+        let now = self.clock.now();
+        let taken = self.allotments.lock().take(organisation, now);
+        taken.map_err(|wait| LocalReason::OverAllotment { wait })
+    }
+
     /// Returns how this daemon reads the store and how recent its state is, as sent to peers.
     pub fn store_status(&self) -> StoreStatus {
         let is_current = self.store_contact.lock().is_current(self.clock.now());
@@ -411,7 +447,14 @@
             *self.plan.lock() = Arc::new(plan);
         }
         drop(planner);
+        let routes = self.routes();
+        let organisations = routes.as_ref().and_then(|routes| routes.organisations());
+        let demand = organisations.map(|organisations| {
+            let daemons = self.member_count();
+            self.allotments.lock().update(organisations, daemons, now)
+        });
         let load = Arc::new(LoadFrame {
+            demand,
             summary,
             store_status: self.store_status(),
         });
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -160,6 +160,7 @@
         let now = self.clock.now();
         let is_first = self.store_contact.lock().record_response(now);
         self.view.lock().mark_store_reachable(now);
+        self.config_currency.lock().confirm(now);
         if is_first {
             self.load_due.notify_one();
         }
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -62,6 +62,7 @@
 pub struct MeshMetrics {
     registry: Registry,
     requests: Family<Labels, Counter>,
+    organisation_requests: Family<Labels, Counter>,
     response_time: Histogram,
     retries: Counter,
     store_failures: Counter,
@@ -95,6 +96,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("skylark"),
             requests: Family::default(),
+            organisation_requests: Family::default(),
             response_time: Histogram::new(exponential_buckets(start, factor, length)),
             retries: Counter::default(),
             store_failures: Counter::default(),
@@ -132,6 +134,12 @@
             "Requests that entered here, by their end",
             requests,
         );
+        let organisation_requests = self.organisation_requests.clone();
+        registry.register(
+            "organisation_requests",
+            "Requests of organisations, by whether the allotment granted them",
+            organisation_requests,
+        );
         registry.register_with_unit(
             "answer_time",
             "Time from a request to its answer",
@@ -256,6 +264,15 @@
         self.response_time.observe(time.as_secs_f64());
     }
 
+    /// Counts a request of an organisation of the configuration.
+    pub fn count_organisation_request(&self, organisation: &str, is_granted: bool) {
+        let labels = vec![
+            ("organisation", organisation.to_owned()),
+            ("granted", is_granted.to_string()),
+        ];
+        self.organisation_requests.get_or_create(&labels).inc();
+    }
+
     /// Counts a retry of a request at another instance.
     pub fn count_retry(&self) {
         self.retries.inc();
--- a/src/mesh/mesh_settings.rs
+++ b/src/mesh/mesh_settings.rs
@@ -2,9 +2,12 @@
 
 use crate::{
     common::*,
-    decision::mesh::{
-        fleet_retry_budget::BudgetBounds,
-        request_fingerprint::{FingerprintError, RequestFingerprint},
+    decision::{
+        mesh::{
+            fleet_retry_budget::BudgetBounds,
+            request_fingerprint::{FingerprintError, RequestFingerprint},
+        },
+        organisation::{allotment_bounds::AllotmentBounds, config_currency::KeyRules},
     },
     settings::{InvalidSettings, LogSettings, SettingsError},
     toml_location::{self, KeyLocation},
@@ -47,6 +50,12 @@
     /// Bounds on retries that all daemons share.
     #[serde(default)]
     pub budget: BudgetBounds,
+    /// Tolerance with which the allotments of organisations are kept.
+    #[serde(default)]
+    pub allotment: AllotmentBounds,
+    /// Treatment of keys at a daemon that is out of touch.
+    #[serde(default)]
+    pub keys: KeyRules,
     /// Fingerprints of requests that are never refused although servers ended while they ran, as the
     /// log shows them.
     #[serde(
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -9,6 +9,7 @@
         reader_election::StoreStatus,
         server_notes::ServerNotes,
     },
+    decision::organisation::organisation_demand::{DemandReport, MAX_DEMANDS},
     mesh::store_interface::StoreItem,
 };
 use bytes::{Buf, Bytes, BytesMut};
@@ -93,6 +94,9 @@
     pub summary: LoadSummary,
     /// How the daemon reads the store and how recent its state is.
     pub store_status: StoreStatus,
+    /// Demand at the daemon's entry, if the configuration has organisations. Appended to the message.
+    #[serde(skip)]
+    pub demand: Option<DemandReport>,
 }
 
 /// Identity and state of a daemon, sent when a connection is opened.
@@ -152,6 +156,17 @@
     pub head: Bytes,
     /// Body.
     pub body: Bytes,
+    /// What the entry knows of the caller. Appended to the message.
+    #[serde(skip)]
+    pub caller: CallerNote,
+}
+
+/// What the daemon at the entry of a request knows of its caller.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CallerNote {
+    /// Whether the entry has checked the key of the caller and replaced it by the organisation.
+    /// Earlier builds pass on what the caller sent.
+    pub is_identified: bool,
 }
 
 /// Result of a run.
@@ -232,6 +247,13 @@
                 .and_then(|bytes| postcard::to_extend(notes, bytes)),
             Self::Suspects(records) => postcard::to_stdvec(&Self::Ping)
                 .and_then(|bytes| postcard::to_extend(records.as_ref(), bytes)),
+            Self::Call(call) if call.caller.is_identified => {
+                postcard::to_stdvec(self).and_then(|bytes| postcard::to_extend(&call.caller, bytes))
+            }
+            Self::Load(load) => postcard::to_stdvec(self).and_then(|bytes| match &load.demand {
+                Some(demand) => postcard::to_extend(demand, bytes),
+                None => Ok(bytes),
+            }),
             _ => postcard::to_stdvec(self).and_then(|bytes| match self.notes() {
                 Some(notes) => postcard::to_extend(notes, bytes),
                 None => Ok(bytes),
@@ -271,6 +293,16 @@
         Ok(Some(match frame {
             Self::Leaving => Self::ServerLeaving(postcard::from_bytes(appended)?),
             Self::Ping => Self::Suspects(Arc::new(decode_records(appended)?)),
+            Self::Call(mut call) => {
+                call.caller = postcard::from_bytes(appended)?;
+                Self::Call(call)
+            }
+            Self::Load(mut load) => {
+                if let Some(load) = Arc::get_mut(&mut load) {
+                    load.demand = Some(decode_demand(appended)?);
+                }
+                Self::Load(load)
+            }
             frame => frame,
         }))
     }
@@ -295,6 +327,14 @@
     }
 }
 
+fn decode_demand(bytes: &[u8]) -> Result<DemandReport, FrameError> {
+    let report: DemandReport = postcard::from_bytes(bytes)?;
+    if report.demands.len() > MAX_DEMANDS {
+        return Err(FrameError::Records(report.demands.len()));
+    }
+    Ok(report)
+}
+
 fn decode_records(bytes: &[u8]) -> Result<Vec<SuspectRecord>, FrameError> {
     let records: Vec<SuspectRecord> = postcard::from_bytes(bytes)?;
     if records.len() > MAX_MESSAGE_RECORDS {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -6,6 +6,7 @@
     mesh::{
         connection_end::ConnectionEnd,
         fleet_state::FleetState,
+        forwarded_caller,
         peer_frame::{
             CallFrame, HelloFrame, LoadFrame, NotRunReason, PeerFrame, ReplyFrame, RunResult,
         },
@@ -109,10 +110,16 @@
         }
     }
 
-    fn start_run(self: &Arc<Self>, id: RunId, call: Box<CallFrame>, transit_time: Duration) {
+    fn start_run(self: &Arc<Self>, id: RunId, mut call: Box<CallFrame>, transit_time: Duration) {
         if !self.runs.lock().start(id) {
             return;
         }
+        let state = &self.state;
+        let routes = state.routes();
+        if let Err(result) = forwarded_caller::identify(&mut call, routes.as_ref(), &state.headers)
+        {
+            return self.finish_run(id, state.executor.result_reply(call.number, result));
+        }
         let remaining = Duration::from_millis(call.remaining_ms.into());
         let remaining = if transit_time > MAX_TRANSIT_TIME {
             Duration::ZERO
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,3 +6,4 @@
 pub mod context_names;
 pub mod entry_document;
 pub mod store_format;
+pub mod tenant_document;
--- a/src/platform/context_names.rs
+++ b/src/platform/context_names.rs
@@ -17,6 +17,8 @@
         rate_limit: "Server-Limit",
         leaving: "Server-Leaving",
         caller_service: "Caller-Service",
+        api_key: "Credential",
+        organisation: "Tenant",
     }
 }
 
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -3,6 +3,7 @@
 use crate::{
     common::*,
     mesh::mesh_daemon::MeshError,
+    platform::config_document::ConfigDocumentError,
     settings::SettingsError,
     shell::{daemon::DaemonError, logging::LogError},
 };
@@ -43,7 +44,7 @@
     /// Run a daemon that reads routes and instances from the platform's store.
     #[bpaf(command)]
     Sidecar(#[bpaf(external(sidecar::sidecar_arguments))] sidecar::SidecarArguments),
-    /// Validate a settings file or a profile.
+    /// Validate a settings file, a route configuration or a profile.
     #[bpaf(command)]
     Check(#[bpaf(external(check::check_arguments))] check::CheckArguments),
     /// Show limits, queue, threshold and budgets of a daemon.
@@ -94,6 +95,14 @@
         /// Reason why the profile is invalid.
         source: crate::decision::profile::service_profile::ProfileError,
     },
+    /// The route configuration is invalid.
+    #[error("The route configuration {} is invalid. {source}", path.display())]
+    Config {
+        /// Path of the file.
+        path: PathBuf,
+        /// Reason why the configuration is invalid.
+        source: ConfigDocumentError,
+    },
     /// Another input or output operation failed.
     #[error("I/O error: {0}.")]
     Io(#[from] io::Error),
--- a/src/subcommand/check.rs
+++ b/src/subcommand/check.rs
@@ -1,7 +1,14 @@
-//! `check`: validates settings and profiles.
+//! `check`: validates settings, route configurations and profiles.
 
 use super::{SubcommandError, print};
-use crate::{decision::profile::service_profile::ServiceProfile, settings::DaemonSettings};
+use crate::{
+    decision::{
+        mesh::route_table::RouteTable, organisation::organisation_table::OrganisationTable,
+        profile::service_profile::ServiceProfile,
+    },
+    platform::config_document,
+    settings::DaemonSettings,
+};
 use bpaf::Bpaf;
 use std::path::{Path, PathBuf};
 
@@ -15,6 +22,12 @@
         #[bpaf(long("settings"), argument("FILE"))]
         settings: PathBuf,
     },
+    /// Check a route configuration of the platform's store.
+    Config {
+        /// File with a route configuration, as the operator writes it to the store
+        #[bpaf(long("config"), argument("FILE"))]
+        config: PathBuf,
+    },
     /// Check a profile.
     Profile {
         /// Profile file
@@ -31,6 +44,16 @@
             DaemonSettings::load(settings)?;
             print(&format_args!("{}: valid settings\n", settings.display()))
         }
+        CheckArguments::Config { config } => {
+            let table = read_config(config)?;
+            let organisations = table.organisations().map_or(0, OrganisationTable::len);
+            print(&format_args!(
+                "{}: valid configuration, version {}, {} routes, {organisations} organisations\n",
+                config.display(),
+                table.version().0,
+                table.len(),
+            ))
+        }
         CheckArguments::Profile {
             profile: path,
             canonical,
@@ -52,11 +75,23 @@
     }
 }
 
-fn read_profile(path: &Path) -> Result<ServiceProfile, SubcommandError> {
-    let bytes = std::fs::read(path).map_err(|source| SubcommandError::Read {
+fn read_config(path: &Path) -> Result<RouteTable, SubcommandError> {
+    let bytes = read_file(path)?;
+    config_document::decode(&bytes).map_err(|source| SubcommandError::Config {
         path: path.to_owned(),
         source,
-    })?;
+    })
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>, SubcommandError> {
+    std::fs::read(path).map_err(|source| SubcommandError::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn read_profile(path: &Path) -> Result<ServiceProfile, SubcommandError> {
+    let bytes = read_file(path)?;
     ServiceProfile::from_bytes(&bytes).map_err(|source| SubcommandError::Profile {
         path: path.to_owned(),
         source,
--- a/tests/load_patterns/main.rs
+++ b/tests/load_patterns/main.rs
@@ -7,6 +7,7 @@
 mod long_roots_beside_short_calls;
 mod lost_reach;
 mod recovery_after_restart;
+mod shared_allotments;
 mod shedding_server;
 mod slow_deep_service;
 mod surge_over_a_deep_service;
--- a/tests/mesh/end_to_end.rs
+++ b/tests/mesh/end_to_end.rs
@@ -117,13 +117,17 @@
         }
     }
 
+    pub fn put_config(&self, config: &str) {
+        self.store.put("op/config", config);
+    }
+
     fn set_behaviour(&self, behaviour: Behaviour) {
         self.backends
             .iter()
             .for_each(|backend| backend.set(behaviour));
     }
 
-    fn runs(&self) -> Vec<String> {
+    pub fn runs(&self) -> Vec<String> {
         let backends = self.backends.iter();
         backends
             .flat_map(|backend| backend.runs.lock().clone())
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -173,6 +173,7 @@
 
     fn call(&self, number: u64) -> CallFrame {
         CallFrame {
+            caller: Default::default(),
             number,
             service: "s".into(),
             instance: "i-1".into(),
--- a/tests/mesh/route_table.rs
+++ b/tests/mesh/route_table.rs
@@ -18,6 +18,7 @@
         latency_target: Duration::from_millis(800),
         max_attempts: 2,
         priority,
+        is_open: false,
         targets: targets
             .iter()
             .map(|(service, weight)| WeightedTarget {
