Do not count refused requests as demand of their organisation

Cause: callers of an overloaded fleet return, so that an organisation seemed to exceed its allotment by the requests that found no slot.

--- a/src/decision/organisation/allotment_ledger.rs
+++ b/src/decision/organisation/allotment_ledger.rs
@@ -178,9 +178,11 @@
         Ok(())
     }
 
-    /// Takes back a granted request that was not run.
+    /// Takes back a granted request that was refused for another reason. It is not part of the demand
+    /// either: callers of an overloaded fleet return, and would otherwise seem to exceed the allotment.
     pub fn give_back(&mut self, organisation: &str, now: Instant) {
         if let Some(demand) = self.local.get_mut(organisation) {
+            demand.requests.take_back(now);
             demand.granted.take_back(now);
         }
     }
--- a/src/decision/organisation/organisation_demand.rs
+++ b/src/decision/organisation/organisation_demand.rs
@@ -22,9 +22,10 @@
 pub struct OrganisationDemand {
     /// Name of the organisation.
     pub organisation: SmolStr,
-    /// Requests per second, those over the allotment included.
+    /// Requests per second, those over the allotment included, without those refused for another
+    /// reason.
     pub rate: f32,
-    /// Requests per second that the allotment covered and that were not refused for another reason.
+    /// Requests per second that the allotment covered.
     pub granted_rate: f32,
 }
 
--- a/src/decision/organisation/priority_ranks.rs
+++ b/src/decision/organisation/priority_ranks.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Returns whether an organisation's priority is the most important one, while others are less
+    /// important.
+    pub fn is_most_important(&self, organisation: u8) -> bool {
+        self.organisations.len() > 1 && self.organisations.first() == Some(&organisation)
+    }
+
     /// Returns the rank of a request; 0 is the most important. One without an organisation ranks with
     /// the least important organisations.
     pub fn rank(&self, organisation: Option<u8>, route: u8) -> u8 {
--- a/tests/load_patterns/shared_allotments.rs
+++ b/tests/load_patterns/shared_allotments.rs
@@ -4,11 +4,13 @@
 use skylarkstream::{
     decision::organisation::{
         allotment_bounds::AllotmentBounds,
+        allotment_ledger::AllotmentLedger,
         organisation_spec::{OrganisationSpec, RequestAllotment},
+        organisation_table::OrganisationTable,
     },
     emulator::allotment_fleet::{AllotmentChange, AllotmentFleet, AllotmentTally, CallerGroup},
 };
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const BOUNDS: AllotmentBounds = AllotmentBounds {
     window_s: 5.0,
@@ -35,6 +37,15 @@
     RequestAllotment { rate, burst: rate }
 }
 
+fn organisation(index: usize, callers: usize) -> OrganisationSpec {
+    OrganisationSpec {
+        name: format!("o-{index}").into(),
+        keys: Vec::new(),
+        priority: 0,
+        allotment: Some(allotment(callers)),
+    }
+}
+
 /// Daemons at which the callers of an organisation send their requests.
 #[derive(Clone, Copy, Debug)]
 enum CallerSpread {
@@ -54,12 +65,7 @@
     let organisations = CALLERS
         .iter()
         .enumerate()
-        .map(|(index, callers)| OrganisationSpec {
-            name: format!("o-{index}").into(),
-            keys: Vec::new(),
-            priority: 0,
-            allotment: Some(allotment(*callers)),
-        });
+        .map(|(index, callers)| organisation(index, *callers));
     let callers = CALLERS
         .iter()
         .enumerate()
@@ -194,3 +200,27 @@
         );
     }
 }
+
+/// Guards against an organisation that counts as over its allotment since its requests are refused for
+/// lack of slots and its callers return.
+#[test]
+fn returning_callers_are_not_over_the_allotment() {
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(10_000 + ms);
+    let spec = organisation(0, CALLERS[1]);
+    let table = OrganisationTable::new(vec![spec.clone()]).expect("a valid organisation");
+    let mut ledger = AllotmentLedger::new(BOUNDS, 1, now);
+    let allotted = allotment(CALLERS[1]).rate;
+    // Three times the allotment arrives, and two of three requests find no slot.
+    let interval = 1_000.0 / (3.0 * allotted);
+    for number in 0..(10.0 * 3.0 * allotted) as u64 {
+        let time = at((number as f64 * interval) as u64);
+        if number % 40 == 0 {
+            ledger.update(&table, 1, time);
+        }
+        assert!(ledger.take(&spec, time).is_ok(), "request {number}");
+        if number % 3 != 0 {
+            ledger.give_back(&spec.name, time);
+        }
+    }
+}
