Admit requests of the most important organisations first

Cause: the priority of an organisation decided the order at the gates only, not who is refused at the entry.

--- a/src/decision/mesh/route_table.rs
+++ b/src/decision/mesh/route_table.rs
@@ -142,6 +142,12 @@
         self.organisations.as_ref()
     }
 
+    /// Returns whether an organisation's priority is the most important one, while others are less
+    /// important.
+    pub fn is_important(&self, priority: Option<u8>) -> bool {
+        priority.is_some_and(|priority| self.ranks.is_most_important(priority))
+    }
+
     /// Returns the rank of a request by the priorities of its organisation and of its route; 0 is the
     /// most important. Without organisations, it is the priority of the route.
     pub fn rank(&self, organisation: Option<&OrganisationSpec>, route: &RouteSpec) -> u8 {
--- a/src/emulator/fleet_emulator.rs
+++ b/src/emulator/fleet_emulator.rs
@@ -6,6 +6,7 @@
         admission::admission_gate::{GateDecision, WorkResult},
         clock::{Clock, ManualClock},
         mesh::{
+            entry_admission::EntryRequest,
             fleet_view::FleetView,
             instance_selector::{InstanceResult, SelectionRequest},
             load_schedule::{PLAN_INTERVAL, regular_interval},
@@ -268,7 +269,13 @@
         let daemon = &mut self.daemons[entry];
         daemon.counts.record_entered_request(&name, now);
         let share = daemon.plan.share(&name);
-        if daemon.entry_admission.admit(&name, share, fingerprint, now) {
+        let entering = EntryRequest {
+            route: &name,
+            share,
+            fingerprint,
+            is_important: false,
+        };
+        if daemon.entry_admission.admit(entering, now) {
             self.make_attempt(key);
         } else {
             self.finish(key, RequestEnd::Shed);
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -5,6 +5,7 @@
     decision::mesh::{
         admission_plan::{AdmissionPlan, ServiceCost},
         crash_suspects::SuspectVerdict,
+        entry_admission::EntryRequest,
         instance_selector::{InstanceKey, InstanceResult, SelectedInstance, SelectionRequest},
         request_fingerprint::RequestFingerprint,
         route_table::{RouteSpec, RouteTable, RunSemantics},
@@ -268,7 +269,7 @@
     ) -> Result<RunResponse, LocalReason> {
         let route = resolved.route();
         let is_nested = plan.route(&route.name).is_some_and(|plan| plan.is_nested);
-        if !is_nested && !self.is_admitted(request, route, &plan) {
+        if !is_nested && !self.is_admitted(request, resolved, &plan) {
             return Err(LocalReason::Shed);
         }
         let service = self.state.traffic_split.lock().select(route);
@@ -296,9 +297,10 @@
     fn is_admitted(
         &self,
         request: &CallerRequest,
-        route: &RouteSpec,
+        resolved: &ResolvedRequest,
         plan: &AdmissionPlan,
     ) -> bool {
+        let route = resolved.route();
         let share = plan.route(&route.name).map_or(1.0, |plan| plan.share);
         let head = &request.head;
         // A caller that sends a refused request again repeats its host and target. Such requests
@@ -309,7 +311,13 @@
         );
         let now = self.state.clock.now();
         let mut admission = self.state.entry_admission.lock();
-        admission.admit(&route.name, share, fingerprint, now)
+        let entering = EntryRequest {
+            route: &route.name,
+            share,
+            fingerprint,
+            is_important: resolved.is_important(),
+        };
+        admission.admit(entering, now)
     }
 
     /// Makes attempts at a request until its result is final.
--- a/src/mesh/resolved_request.rs
+++ b/src/mesh/resolved_request.rs
@@ -67,6 +67,15 @@
         self.identity.as_ref().ok()?.as_ref()
     }
 
+    /// Returns whether the caller belongs to one of the most important organisations, while others are
+    /// less important.
+    pub fn is_important(&self) -> bool {
+        let priority = self
+            .organisation()
+            .map(|organisation| organisation.priority);
+        self.routes.is_important(priority)
+    }
+
     /// Returns the rank of the request by its priorities; 0 is the most important.
     pub fn rank(&self) -> u8 {
         let organisation = self.organisation().map(Arc::as_ref);
--- a/tests/mesh/admission.rs
+++ b/tests/mesh/admission.rs
@@ -9,7 +9,7 @@
     mesh::{
         admission_plan::{AdmissionPlan, AdmissionPlanner},
         call_counts::CallCounts,
-        entry_admission::EntryAdmission,
+        entry_admission::{EntryAdmission, EntryRequest},
         fleet_sums::PeerReach,
         instance_selector::LoadReport,
         load_summary::{EnteredRequests, LoadSummary, RouteCalls, RouteRuns, SummaryError},
@@ -331,6 +331,35 @@
     assert_eq!(routes, ["caller"]);
 }
 
+fn entering(route: &SmolStr, fingerprint: u64) -> EntryRequest<'_> {
+    EntryRequest {
+        route,
+        share: 0.3,
+        fingerprint,
+        is_important: false,
+    }
+}
+
+/// Guards against an important organisation whose requests are refused like those of all others.
+#[test]
+fn requests_of_important_organisations_are_admitted_first() {
+    let clock = ManualClock::new();
+    let route = SmolStr::new("browse");
+    let mut admission = EntryAdmission::default();
+    let mut refused = [0, 0];
+    for fingerprint in 0..200 {
+        let is_important = fingerprint % 10 == 0;
+        let request = EntryRequest {
+            is_important,
+            ..entering(&route, fingerprint)
+        };
+        let is_refused = !admission.admit(request, clock.now());
+        refused[usize::from(is_important)] += usize::from(is_refused);
+    }
+    assert_eq!(refused[1], 0);
+    assert!((130..=145).contains(&refused[0]), "{}", refused[0]);
+}
+
 /// Guards against callers that retry after the requested delay and are refused again while new
 /// requests are admitted.
 #[test]
@@ -340,7 +369,7 @@
     let mut admission = EntryAdmission::default();
     let mut refused = Vec::new();
     for fingerprint in 0..200 {
-        if !admission.admit(&route, 0.3, fingerprint, clock.now()) {
+        if !admission.admit(entering(&route, fingerprint), clock.now()) {
             refused.push(fingerprint);
         }
     }
@@ -348,11 +377,11 @@
     clock.advance(Duration::from_millis(500));
     let mut admitted = 0;
     for fingerprint in &refused[..8] {
-        admitted += usize::from(admission.admit(&route, 0.3, *fingerprint, clock.now()));
+        admitted += usize::from(admission.admit(entering(&route, *fingerprint), clock.now()));
     }
     assert_eq!(admitted, 8);
     // The retries have overdrawn the credit, so new requests are refused.
-    let new = (1_000..1_010).filter(|new| admission.admit(&route, 0.3, *new, clock.now()));
+    let new = (1_000..1_010).filter(|new| admission.admit(entering(&route, *new), clock.now()));
     assert_eq!(new.count(), 0);
 }
 
