Let requests with a short wait go before calls at the gate

Cause: at a deep service whose slots the calls of other requests fill, requests of callers wait behind the calls and are refused after a quarter of their latency target, although the plan has room for them. They go first now, as long as they use a sixth of the slots.

--- a/src/decision/admission/admission_gate.rs
+++ b/src/decision/admission/admission_gate.rs
@@ -23,6 +23,10 @@
 /// exceeded 5% in the slow_deep_service scenario.
 const MAX_WAIT_DIVISOR: u32 = 4;
 
+/// Divisor of the concurrency limit that gives the slots in which impatient requests go before planned
+/// calls. The calls of admitted requests keep the other ones.
+const IMPATIENT_DIVISOR: u32 = 6;
+
 new_key_type! {
     /// Key of a request that waits for a slot or runs.
     pub struct GateKey;
@@ -44,6 +48,9 @@
     /// Whether the request is a call of a root request that an admission plan has admitted. Only
     /// its deadline ends its wait: refusing it would waste the work on the root request.
     pub is_planned_call: bool,
+    /// Whether the request is refused after a short wait. Such requests go before planned calls, which can
+    /// wait for longer, as long as they use few slots.
+    pub is_impatient: bool,
     /// Expected service time, if known; otherwise the mean of all requests is used.
     pub expected_time: Option<Duration>,
 }
@@ -95,6 +102,7 @@
 
 #[derive(Debug, Default)]
 struct GateEntry {
+    is_impatient: bool,
     started: Option<(StartSnapshot, Instant)>,
 }
 
@@ -113,6 +121,8 @@
     threshold: AdmissionThreshold,
     service_time: ServiceTime,
     in_flight: u32,
+    /// Impatient requests among those in flight.
+    impatient: u32,
     last_poll: Option<Instant>,
     decisions: Vec<GateDecision>,
 }
@@ -129,6 +139,7 @@
             threshold: AdmissionThreshold::default(),
             service_time: ServiceTime::default(),
             in_flight: 0,
+            impatient: 0,
             last_poll: None,
             decisions: Vec::new(),
         }
@@ -147,7 +158,10 @@
 
     /// Offers a request; a later [`AdmissionGate::poll`] returns the decision on it.
     pub fn offer(&mut self, request: GateRequest, now: Instant) -> GateKey {
-        let key = self.entries.insert(GateEntry::default());
+        let key = self.entries.insert(GateEntry {
+            is_impatient: request.is_impatient,
+            started: None,
+        });
         let threshold = self.threshold_for(&request.caller_service, now);
         if request.is_planned_call || request.priority <= threshold {
             self.queue.push(key, request, now);
@@ -167,6 +181,7 @@
             return;
         };
         self.in_flight -= 1;
+        self.impatient -= u32::from(entry.is_impatient);
         self.limit.record_result(snapshot, result, now);
         if result == WorkResult::Completed {
             self.service_time.record(now - started, now);
@@ -178,7 +193,8 @@
         self.reset_after_pause(now);
         self.shed_unmeetable(now);
         while self.in_flight < self.limit.current() {
-            let Some((key, request)) = self.queue.take_next(&self.fair_share, now) else {
+            let has_room = self.impatient < self.limit.current() / IMPATIENT_DIVISOR;
+            let Some((key, request)) = self.queue.take_next(&self.fair_share, has_room, now) else {
                 break;
             };
             self.start(key, &request, now);
@@ -238,6 +254,7 @@
 
     fn start(&mut self, key: GateKey, request: &GateRequest, now: Instant) {
         self.in_flight += 1;
+        self.impatient += u32::from(request.is_impatient);
         self.fair_share.record_start(&request.caller_service, now);
         let snapshot = self.limit.record_start(self.in_flight, now);
         self.entries[key].started = Some((snapshot, now));
--- a/src/decision/admission/admission_queue.rs
+++ b/src/decision/admission/admission_queue.rs
@@ -106,12 +106,22 @@
         self.take(|waiting| !is_admitted(&waiting.request))
     }
 
-    /// Removes and returns the request that starts next.
-    pub fn take_next(&mut self, share: &FairShare, now: Instant) -> Option<(GateKey, GateRequest)> {
+    /// Removes and returns the request that starts next: an impatient one if they go first.
+    pub fn take_next(
+        &mut self,
+        share: &FairShare,
+        impatient_first: bool,
+        now: Instant,
+    ) -> Option<(GateKey, GateRequest)> {
+        let is_behind = |request: &GateRequest| impatient_first && !request.is_impatient;
         let (index, _) = self.waiting.iter().enumerate().min_by(|(_, a), (_, b)| {
             let usage = |entry: &WaitingRequest| share.usage(&entry.request.caller_service, now);
-            self.order_group(&a.request)
-                .cmp(&self.order_group(&b.request))
+            is_behind(&a.request)
+                .cmp(&is_behind(&b.request))
+                .then_with(|| {
+                    self.order_group(&a.request)
+                        .cmp(&self.order_group(&b.request))
+                })
                 .then_with(|| usage(a).total_cmp(&usage(b)))
                 .then_with(|| Self::age_key(&a.request, now).cmp(&Self::age_key(&b.request, now)))
                 .then_with(|| a.request.priority.rank.cmp(&b.request.priority.rank))
--- a/src/emulator/emulated_request.rs
+++ b/src/emulator/emulated_request.rs
@@ -88,6 +88,7 @@
             is_entry: !is_nested,
             caller_service: SmolStr::default(),
             is_planned_call: is_nested,
+            is_impatient: !is_nested,
             expected_time,
         }
     }
--- a/src/filter/admission_filter.rs
+++ b/src/filter/admission_filter.rs
@@ -40,6 +40,7 @@
                 is_entry: context.is_entry,
                 caller_service: context.caller_service.clone(),
                 is_planned_call: false,
+                is_impatient: false,
                 expected_time: None,
             };
             let priority = request.priority;
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -429,6 +429,7 @@
             is_entry: call.class > NESTED_CLASS,
             caller_service: call.caller_service.clone(),
             is_planned_call: call.class == NESTED_CLASS,
+            is_impatient: call.class > NESTED_CLASS,
             expected_time,
         };
         self.gate.admit(request).await
--- a/tests/load_patterns/main.rs
+++ b/tests/load_patterns/main.rs
@@ -9,6 +9,7 @@
 mod recovery_after_restart;
 mod shared_allotments;
 mod shedding_server;
+mod short_roots_beside_calls;
 mod slow_deep_service;
 mod surge_over_a_deep_service;
 mod wrong_learned_costs;
--- a/tests/scenarios/chain.rs
+++ b/tests/scenarios/chain.rs
@@ -320,6 +320,7 @@
                     is_entry: call.parent.is_none(),
                     caller_service: caller.map_or("", |c| self.instances[c].name).into(),
                     is_planned_call: false,
+                    is_impatient: false,
                     expected_time: None,
                 };
                 let instance = &mut self.instances[index];
--- a/tests/scenarios_decisions.rs
+++ b/tests/scenarios_decisions.rs
@@ -42,6 +42,7 @@
         is_entry: false,
         caller_service: caller.into(),
         is_planned_call: false,
+        is_impatient: false,
         expected_time: None,
     }
 }
@@ -305,6 +306,7 @@
     let call = GateRequest {
         deadline: now + 700 * MS,
         is_planned_call: true,
+        is_impatient: false,
         expected_time: Some(40 * MS),
         ..request(0, u16::MAX, "", now)
     };
