--- a/src/decision/organisation/allotment_ledger.rs
+++ b/src/decision/organisation/allotment_ledger.rs
@@ -178,12 +178,12 @@
         Ok(())
     }
 
-    /// Takes back a granted request that was refused for another reason. It is not part of the demand
+    /// Takes back a request that was granted at `granted_at` and refused for another reason. It is not part of the demand
     /// either: callers of an overloaded fleet return, and would otherwise seem to exceed the allotment.
-    pub fn give_back(&mut self, organisation: &str, now: Instant) {
+    pub fn give_back(&mut self, organisation: &str, granted_at: Instant, now: Instant) {
         if let Some(demand) = self.local.get_mut(organisation) {
-            demand.requests.take_back(now);
-            demand.granted.take_back(now);
+            demand.requests.take_back(granted_at, now);
+            demand.granted.take_back(granted_at, now);
         }
     }
 
--- a/src/decision/organisation/demand_rate.rs
+++ b/src/decision/organisation/demand_rate.rs
@@ -31,9 +31,10 @@
         self.add(1.0, now);
     }
 
-    /// Takes a counted request back.
-    pub fn take_back(&mut self, now: Instant) {
-        self.add(-1.0, now);
+    /// Takes back a request that was counted at `counted_at`: what is left of it in the average.
+    pub fn take_back(&mut self, counted_at: Instant, now: Instant) {
+        let age = now.saturating_duration_since(counted_at).as_secs_f64();
+        self.add(-(-age / TIME_CONSTANT_S).exp(), now);
     }
 
     fn add(&mut self, requests: f64, now: Instant) {
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -244,6 +244,7 @@
         if !self.state.can_reach_needed_services(&route.name) {
             return Err(LocalReason::NoInstance);
         }
+        let granted_at = self.state.clock.now();
         if let Some(organisation) = organisation {
             self.state.take_allotment(organisation)?;
         }
@@ -253,7 +254,7 @@
             && result.as_ref().is_err_and(|reason| reason.is_refusal())
         {
             let mut allotments = self.state.allotments.lock();
-            allotments.give_back(&organisation.name, self.state.clock.now());
+            allotments.give_back(&organisation.name, granted_at, self.state.clock.now());
         }
         result
     }
--- a/tests/load_patterns/shared_allotments.rs
+++ b/tests/load_patterns/shared_allotments.rs
@@ -152,6 +152,45 @@
     }
 }
 
+/// Guards against a rise of the demand to a multiple of the allotment, as when an organisation and all
+/// callers send more at the same time.
+#[test]
+fn steep_rise_stays_within_the_bounds() {
+    for (seed, spread) in cases() {
+        let hot = [0, 1, 2].map(|index| (10, AllotmentChange::Load(index, 6.9)));
+        assert_within_bounds(&play(spread, &hot, seed), seed);
+    }
+}
+
+/// Guards against requests that are refused long after they were counted and lower the measured demand
+/// below that of the requests that run.
+#[test]
+fn late_refusals_do_not_hide_requests_that_run() {
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(10_000 + ms);
+    let spec = organisation(0, CALLERS[1]);
+    let table = OrganisationTable::new(vec![spec.clone()]).expect("a valid organisation");
+    let mut ledger = AllotmentLedger::new(BOUNDS, 1, now);
+    let mut granted_rate = 0.0;
+    for step in 0..1_000 {
+        let time = at(step * 10);
+        // Of 100 requests per second, 80 are refused after 0.3 s.
+        let _ = ledger.take(&spec, time);
+        if step > 30 && step % 5 != 0 {
+            ledger.give_back(&spec.name, at((step - 30) * 10), time);
+        }
+        if step % 40 == 39 {
+            let report = ledger.update(&table, 1, time);
+            granted_rate = report
+                .demands
+                .first()
+                .map_or(0.0, |demand| demand.granted_rate);
+        }
+    }
+    // Those that are still waiting count as well: 0.3 s of them, of which the average covers a part.
+    assert!((20.0..80.0).contains(&granted_rate), "{granted_rate}");
+}
+
 /// Guards against the burst of an allotment being granted again by each daemon that restarts.
 #[test]
 fn restarts_do_not_refill_the_burst() {
@@ -220,7 +259,7 @@
         }
         assert!(ledger.take(&spec, time).is_ok(), "request {number}");
         if number % 3 != 0 {
-            ledger.give_back(&spec.name, time);
+            ledger.give_back(&spec.name, time, time);
         }
     }
 }
