--- a/src/decision/mesh/entry_admission.rs
+++ b/src/decision/mesh/entry_admission.rs
@@ -28,7 +28,8 @@
 }
 
 /// Admits the planned share of the requests of each route, and prefers requests of important
-/// organisations and those that were refused before. Each request adds the share to the credit of its route; an admitted one takes 1 from it.
+/// organisations and those that were refused before. Each request adds the share to the credit of its
+/// route; an admitted one takes 1 from it.
 #[derive(Debug, Default)]
 pub struct EntryAdmission {
     credits: IndexMap<SmolStr, f64>,
--- a/src/decision/organisation/priority_ranks.rs
+++ b/src/decision/organisation/priority_ranks.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 /// Number of ranks. The admission gate has one class level for each, besides that of nested calls.
-const MAX_RANKS: usize = 7;
+const MAX_RANKS: usize = 6;
 
 /// Ranks of the pairs of an organisation's and a route's priority that a configuration contains. The
 /// least important pairs share the last rank if there are too many.
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -34,7 +34,7 @@
 const DEFAULT_MAX_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// Greatest rank with a class level of its own; greater ones share that level.
-const MAX_PRIORITY: u8 = 6;
+const MAX_RANK: u8 = 5;
 
 /// Time after the deadline of a request in which the executor can still report that it was not run,
 /// so that the request is refused instead of timed out.
@@ -105,7 +105,7 @@
     ) -> CallerResponse {
         let retry_after = match reason {
             LocalReason::OverAllotment { wait } => {
-                let wait = wait.max(MIN_ALLOTMENT_WAIT).min(MAX_ALLOTMENT_WAIT);
+                let wait = wait.clamp(MIN_ALLOTMENT_WAIT, MAX_ALLOTMENT_WAIT);
                 Some(wait.mul_f64(1.0 + rand::random::<f64>()))
             }
             reason => reason
@@ -530,7 +530,7 @@
             class: if request.is_nested {
                 NESTED_CLASS
             } else {
-                NESTED_CLASS + 1 + request.resolved.rank().min(MAX_PRIORITY)
+                NESTED_CLASS + 1 + request.resolved.rank().min(MAX_RANK)
             },
             rank: (xxh3_64(&request.attempt_id) >> 48) as u16,
             is_marked_retry: false,
@@ -569,13 +569,11 @@
             dropped.extend([headers.api_key, headers.organisation]);
         }
         let service = &self.state.settings.service;
-        let organisation = resolved.organisation();
-        let added = [Some((headers.caller_service, service.as_str()))].into_iter();
-        let added =
-            added
-                .chain([organisation
-                    .map(|organisation| (headers.organisation, organisation.name.as_str()))]);
-        forwarded_head::encode(head, &dropped, added.flatten())
+        let mut added = vec![(headers.caller_service, service.as_str())];
+        if let Some(organisation) = resolved.organisation() {
+            added.push((headers.organisation, organisation.name.as_str()));
+        }
+        forwarded_head::encode(head, &dropped, added)
     }
 }
 
