--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -2,14 +2,16 @@
 
 use crate::{
     common::*,
-    decision::mesh::{
-        crash_suspects::{MAX_MESSAGE_RECORDS, SuspectRecord},
-        instance_selector::LoadReport,
-        load_summary::LoadSummary,
-        reader_election::StoreStatus,
-        server_notes::ServerNotes,
+    decision::{
+        mesh::{
+            crash_suspects::{MAX_MESSAGE_RECORDS, SuspectRecord},
+            instance_selector::LoadReport,
+            load_summary::LoadSummary,
+            reader_election::StoreStatus,
+            server_notes::ServerNotes,
+        },
+        organisation::organisation_demand::{DemandReport, MAX_DEMANDS},
     },
-    decision::organisation::organisation_demand::{DemandReport, MAX_DEMANDS},
     mesh::store_interface::StoreItem,
 };
 use bytes::{Buf, Bytes, BytesMut};
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -55,6 +55,14 @@
     let large = format!("{PROFILE}#{}", "x".repeat(1 << 20));
     let large = input_file(&directory, "large.toml", large.as_bytes());
     let settings = input_file(&directory, "settings.toml", b"cluster = 3\n");
+    let config = |keys: &str| {
+        format!(
+            r#"{{"version":"r3","routes":[],"tenants":[{{"name":"a","api-keys":["k-1"]}},
+            {{"name":"b","api-keys":[{keys}]}}]}}"#
+        )
+    };
+    let valid = input_file(&directory, "valid.json", config("").as_bytes());
+    let shared = input_file(&directory, "shared.json", config("\"k-1\"").as_bytes());
     let absent = directory.join("absent.toml").display().to_string();
     let mut report = String::new();
     for arguments in [
@@ -67,6 +75,8 @@
         &["check", "--profile", &absent],
         &["check", "--settings", &settings],
         &["check", "--settings", &absent],
+        &["check", "--config", &valid],
+        &["check", "--config", &shared],
         &["check"],
         &["status", "--admin", "nowhere"],
     ] {
