--- a/src/decision/organisation/allotment_ledger.rs
+++ b/src/decision/organisation/allotment_ledger.rs
@@ -119,6 +119,8 @@
     ) -> DemandReport {
         self.peers
             .retain(|_, peer| peer.received_at + PEER_LIFETIME > now);
+        self.accounts
+            .retain(|name, _| organisations.by_name(name).is_some());
         self.local
             .retain(|_, demand| demand.requests.get(now) >= MIN_SENT_DEMAND);
         let has_burst = self.is_informed(now);
@@ -178,8 +180,9 @@
         Ok(())
     }
 
-    /// Takes back a request that was granted at `granted_at` and refused for another reason. It is not part of the demand
-    /// either: callers of an overloaded fleet return, and would otherwise seem to exceed the allotment.
+    /// Takes back a request that was granted at `granted_at` and refused for another reason. It is not
+    /// part of the demand either: callers of an overloaded fleet return, and would otherwise seem to
+    /// exceed the allotment.
     pub fn give_back(&mut self, organisation: &str, granted_at: Instant, now: Instant) {
         if let Some(demand) = self.local.get_mut(organisation) {
             demand.requests.take_back(granted_at, now);
@@ -187,7 +190,7 @@
         }
     }
 
-    /// Counts a repeated run of a granted request.
+    /// Counts a further run of a granted request.
     pub fn take_repeat(&mut self, organisation: &str, now: Instant) {
         if let Some(demand) = self.local.get_mut(organisation) {
             demand.granted.record(now);
