--- a/tests/load_patterns/shared_allotments.rs
+++ b/tests/load_patterns/shared_allotments.rs
@@ -203,6 +203,19 @@
     }
 }
 
+/// Guards against a fleet that is restarted again and again within one window, before its daemons know the
+/// demand.
+#[test]
+fn restarts_in_quick_succession_do_not_refill_the_burst() {
+    for (seed, spread) in cases() {
+        let mut changes: Vec<_> = [0, 1, 2]
+            .map(|index| (5, AllotmentChange::Load(index, 4.3)))
+            .into();
+        changes.extend([12, 14, 16].map(|second| (second, AllotmentChange::RestartAll)));
+        assert_within_bounds(&play(spread, &changes, seed), seed);
+    }
+}
+
 /// Guards against both sides of a cut granting the whole allotment.
 #[test]
 fn sides_of_a_cut_share_the_allotment() {
