--- a/src/decision.rs
+++ b/src/decision.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod catalogue;
 pub mod clock;
+pub mod event_rate;
 pub mod lifecycle;
 pub mod membership;
 pub mod mesh;
--- a/src/decision/mesh/call_counts.rs
+++ b/src/decision/mesh/call_counts.rs
@@ -8,9 +8,12 @@
 
 use crate::{
     common::*,
-    decision::mesh::{
-        decayed_count::DecayedCount,
-        load_summary::{EnteredRequests, RouteCalls, RouteRuns},
+    decision::{
+        event_rate::EventRate,
+        mesh::{
+            decayed_count::DecayedCount,
+            load_summary::{EnteredRequests, RouteCalls, RouteRuns},
+        },
     },
 };
 use slotmap::{SlotMap, new_key_type};
@@ -94,14 +97,6 @@
     unserved_rate: EventRate,
 }
 
-/// Exponentially weighted average of the events per second.
-#[derive(Debug)]
-struct EventRate {
-    time_constant_s: f64,
-    rate: f64,
-    updated_at: Instant,
-}
-
 /// Requests that entered at one daemon, and the runs and calls of its backend server.
 #[derive(Debug, Default)]
 pub struct CallCounts {
@@ -307,23 +302,3 @@
         self.rate.record(now);
     }
 }
-
-impl EventRate {
-    fn new(time_constant_s: f64, now: Instant) -> Self {
-        Self {
-            time_constant_s,
-            rate: 0.0,
-            updated_at: now,
-        }
-    }
-
-    fn record(&mut self, now: Instant) {
-        self.rate = self.get(now) + 1.0 / self.time_constant_s;
-        self.updated_at = now;
-    }
-
-    fn get(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.updated_at).as_secs_f64();
-        self.rate * (-age / self.time_constant_s).exp()
-    }
-}
--- a/src/decision/organisation/demand_rate.rs
+++ b/src/decision/organisation/demand_rate.rs
@@ -1,19 +1,19 @@
-//! Average rate of requests.
+//! Rate of the requests of one organisation.
 
-use crate::common::*;
+use crate::{common::*, decision::event_rate::EventRate};
 
 /// Time constant of the average, in seconds.
 const TIME_CONSTANT_S: f64 = 0.5;
 
-/// Shortest time over which requests are averaged after the start of the process, in seconds.
-const MIN_COUNTED_S: f64 = 0.25;
+/// Shortest time over which requests are averaged after the start of the process.
+const MIN_COUNTED_TIME: Duration = Duration::from_millis(250);
 
-/// Exponentially weighted average of the requests per second.
+/// Average of the requests per second. Soon after the start of the process, it covers the time since
+/// then.
 #[derive(Clone, Copy, Debug)]
 pub struct DemandRate {
     started: Instant,
-    rate: f64,
-    updated_at: Instant,
+    rate: EventRate,
 }
 
 impl DemandRate {
@@ -21,36 +21,24 @@
     pub fn new(started: Instant) -> Self {
         Self {
             started,
-            rate: 0.0,
-            updated_at: started,
+            rate: EventRate::new(TIME_CONSTANT_S, started),
         }
     }
 
     /// Counts a request.
     pub fn record(&mut self, now: Instant) {
-        self.add(1.0, now);
+        self.rate.record(now);
     }
 
-    /// Takes back a request that was counted at `counted_at`: what is left of it in the average.
+    /// Takes back a request that was counted at `counted_at`.
     pub fn take_back(&mut self, counted_at: Instant, now: Instant) {
-        let age = now.saturating_duration_since(counted_at).as_secs_f64();
-        self.add(-(-age / TIME_CONSTANT_S).exp(), now);
+        self.rate.take_back(counted_at, now);
     }
 
-    fn add(&mut self, requests: f64, now: Instant) {
-        self.rate = (self.decayed(now) + requests / TIME_CONSTANT_S).max(0.0);
-        self.updated_at = now;
-    }
-
-    /// Returns the requests per second. Soon after the start, they are those since the start.
+    /// Returns the requests per second.
     pub fn get(&self, now: Instant) -> f64 {
-        let counted = now.saturating_duration_since(self.started).as_secs_f64();
-        let weight = 1.0 - (-counted.max(MIN_COUNTED_S) / TIME_CONSTANT_S).exp();
-        self.decayed(now) / weight
-    }
-
-    fn decayed(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.updated_at).as_secs_f64();
-        self.rate * (-age / TIME_CONSTANT_S).exp()
+        let counted_time = now.saturating_duration_since(self.started);
+        let covered = 1.0 - self.rate.weight(counted_time.max(MIN_COUNTED_TIME));
+        self.rate.get(now) / covered
     }
 }
