--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -11,6 +11,7 @@
 pub mod fleet_sums;
 pub mod fleet_view;
 pub mod instance_selector;
+mod instance_state;
 pub mod link_liveness;
 pub mod load_schedule;
 pub mod load_summary;
--- a/src/decision/mesh/instance_selector.rs
+++ b/src/decision/mesh/instance_selector.rs
@@ -4,7 +4,8 @@
     common::*,
     decision::mesh::{
         fleet_sums::PeerReach,
-        fleet_view::{BackendEntry, FleetView, ServingState},
+        fleet_view::FleetView,
+        instance_state::{FailureRate, InstanceState},
         server_notes::ServerNotes,
         service_times::ServiceTimes,
     },
@@ -31,9 +32,6 @@
     pub limit: u32,
 }
 
-/// Age at which a load report is no longer used.
-const REPORT_LIFETIME: Duration = Duration::from_secs(1);
-
 /// Time for which an instance gets no requests after its daemon has announced that it is leaving.
 const LEAVING_TIME: Duration = Duration::from_secs(8);
 
@@ -47,23 +45,6 @@
 /// Consecutive failures after which an instance is ejected.
 const EJECTION_THRESHOLD: u32 = 3;
 
-/// Time for which an instance is tried last after it refused a request, for example because it was
-/// full.
-const BUSY_TIME: Duration = Duration::from_millis(60);
-
-/// Part of the mean time between the requests of one daemon, if all share a named limit evenly, for
-/// which an instance is tried last after it refused a request.
-const LIMITED_GAP_SHARE: f64 = 0.5;
-
-/// Longest time for which an instance with a named limit is tried last.
-const MAX_LIMITED_TIME: Duration = Duration::from_secs(1);
-
-/// Weight of a new result in the failure rate of an instance.
-const FAILURE_WEIGHT: f64 = 0.1;
-
-/// Time in which the failure rate of an instance decays to 1/e, so that it is tried again.
-const FAILURE_DECAY_TIME: Duration = Duration::from_secs(3);
-
 /// Failure rate above that of the best instance of the service from which an instance in the own
 /// data centre has no advantage.
 const MAX_LOCAL_EXCESS_FAILURES: f64 = 0.1;
@@ -78,13 +59,6 @@
 /// selected, since traffic between data centres is paid for.
 const LOCAL_ADVANTAGE: f64 = 0.1;
 
-/// Utilisation from which an instance in the own data centre has no advantage, so that the load
-/// spreads before requests wait.
-const MAX_LOCAL_UTILISATION: f64 = 0.75;
-
-/// Factor on the service time of an instance that is in its warm-up and has no measurement.
-const WARM_UP_FACTOR: f64 = 2.0;
-
 /// Number of load intervals without a message of a daemon after which its instance counts as
 /// suspect.
 pub const MAX_MISSED_LOAD_MESSAGES: u32 = 3;
@@ -100,52 +74,6 @@
 /// instances.
 const NOISE: f64 = 0.1;
 
-/// Exponentially weighted share of the attempts that failed.
-#[derive(Clone, Copy, Debug, Default)]
-struct FailureRate {
-    share: f64,
-    updated_at: Option<Instant>,
-}
-
-impl FailureRate {
-    fn record(&mut self, is_failure: bool, now: Instant) {
-        let share = self.get(now);
-        self.share = share + (f64::from(u8::from(is_failure)) - share) * FAILURE_WEIGHT;
-        self.updated_at = Some(now);
-    }
-
-    fn get(&self, now: Instant) -> f64 {
-        let age = self.updated_at.map(|at| now.saturating_duration_since(at));
-        let decays = age.map_or(0.0, |age| {
-            age.as_secs_f64() / FAILURE_DECAY_TIME.as_secs_f64()
-        });
-        self.share * (-decays).exp()
-    }
-}
-
-/// Instance with the measurements of one daemon.
-#[derive(Debug)]
-struct InstanceState {
-    id: SmolStr,
-    entry: BackendEntry,
-    local_attempts: u32,
-    report: Option<(LoadReport, Instant)>,
-    sent_since_report: u32,
-    service_times: ServiceTimes,
-    failures: u32,
-    failure_rate: FailureRate,
-    ejected_until: Option<Instant>,
-    busy_until: Option<Instant>,
-    leaving_until: Option<Instant>,
-    /// Limit that the backend server names, in requests per second.
-    named_rate: Option<f64>,
-    /// Whether the backend server has announced that it leaves.
-    is_server_leaving: bool,
-    is_unreachable: bool,
-    last_seen: Option<Instant>,
-    warm_up_until: Instant,
-}
-
 /// Request for which an instance is selected.
 #[derive(Clone, Copy, Debug)]
 pub struct SelectionRequest<'a> {
@@ -494,85 +422,3 @@
         best.unwrap_or(DEFAULT_SERVICE_TIME_S)
     }
 }
-
-impl InstanceState {
-    fn is_serving(&self, now: Instant) -> bool {
-        self.entry.state == ServingState::Ready
-            && !self.is_unreachable
-            && !self.is_server_leaving
-            && self.leaving_until.is_none_or(|until| until <= now)
-    }
-
-    /// Returns whether the daemon of the instance timed out, or the instance is ejected or recently
-    /// refused a request.
-    fn is_suspect(&self, peer_timeout: Duration, now: Instant) -> bool {
-        let unseen_for = self.last_seen.map(|at| now.saturating_duration_since(at));
-        unseen_for.is_some_and(|time| time > peer_timeout)
-            || self.ejected_until.is_some_and(|until| now < until)
-            || self.busy_until.is_some_and(|until| now < until)
-    }
-
-    /// Returns the estimated number of requests at the instance.
-    fn load(&self, now: Instant) -> u32 {
-        match self.fresh_report(now) {
-            Some(report) => report.in_flight + report.queued + self.sent_since_report,
-            None => self.local_attempts,
-        }
-    }
-
-    fn is_full(&self, now: Instant) -> bool {
-        let limit = self
-            .fresh_report(now)
-            .map_or(self.usable_slots(), |report| report.limit);
-        self.load(now) >= limit
-    }
-
-    /// Returns the slots that can be used: those that the instance publishes or, while its backend
-    /// server names a limit, those of its last report.
-    fn usable_slots(&self) -> u32 {
-        let report = self.report.filter(|_| self.named_rate.is_some());
-        report.map_or(self.entry.slots, |(report, _)| report.limit)
-    }
-
-    /// Returns how long the instance is tried last after it refused a request. Under a limit it is
-    /// about the time until the next request that falls to this daemon.
-    fn busy_time(&self, daemons: usize) -> Duration {
-        let Some(rate) = self.named_rate else {
-            return BUSY_TIME;
-        };
-        let gap_s = daemons as f64 / rate * LIMITED_GAP_SHARE;
-        let gap = Duration::try_from_secs_f64(gap_s).unwrap_or(MAX_LIMITED_TIME);
-        gap.clamp(BUSY_TIME, MAX_LIMITED_TIME)
-    }
-
-    fn fresh_report(&self, now: Instant) -> Option<LoadReport> {
-        let (report, at) = self.report?;
-        (now.saturating_duration_since(at) < REPORT_LIFETIME).then_some(report)
-    }
-
-    /// Returns whether the instance is in the data centre of this daemon and has free slots.
-    fn has_local_advantage(&self, data_centre: &str, now: Instant) -> bool {
-        self.entry.data_centre == data_centre && self.utilisation(now) < MAX_LOCAL_UTILISATION
-    }
-
-    /// Returns the estimated requests at the instance as a share of its slots.
-    fn utilisation(&self, now: Instant) -> f64 {
-        f64::from(self.load(now)) / f64::from(self.usable_slots().max(1))
-    }
-
-    /// Returns the expected time until the response in seconds.
-    fn expected_time(&self, route: &str, fallback: f64, now: Instant) -> f64 {
-        let mean = self.service_times.mean(route);
-        let mut time = mean.map_or(fallback, |time| time.as_secs_f64());
-        if mean.is_none() && now < self.warm_up_until {
-            time *= WARM_UP_FACTOR;
-        }
-        let slots = f64::from(self.usable_slots().max(1));
-        let load = f64::from(self.load(now));
-        // A request gets a free slot at once. A small penalty on the utilisation distributes the
-        // load among equal instances; when all slots are in use, requests wait.
-        let utilisation = self.utilisation(now);
-        let waiting = (load + 1.0 - slots).max(0.0) / slots;
-        time * (1.0 + 0.3 * utilisation + waiting)
-    }
-}
