--- a/src/emulator/allotment_fleet.rs
+++ b/src/emulator/allotment_fleet.rs
@@ -7,7 +7,7 @@
     common::*,
     decision::{
         clock::{Clock, ManualClock},
-        mesh::load_schedule::{PLAN_INTERVAL, regular_interval},
+        mesh::load_schedule::regular_interval,
         organisation::{
             allotment_bounds::AllotmentBounds,
             allotment_ledger::AllotmentLedger,
@@ -191,7 +191,7 @@
     fn exchange_demand(&mut self) {
         let now = self.clock.now();
         let daemons = self.ledgers.len();
-        let interval = regular_interval(daemons).max(PLAN_INTERVAL);
+        let interval = regular_interval(daemons);
         for id in 0..daemons {
             if self.next_update[id] > now {
                 continue;
