--- a/src/decision/mesh/route_table.rs
+++ b/src/decision/mesh/route_table.rs
@@ -3,8 +3,9 @@
 use crate::{
     common::*,
     decision::organisation::{
-        organisation_spec::OrganisationSpec, organisation_table::OrganisationTable,
-        priority_ranks::PriorityRanks,
+        organisation_spec::OrganisationSpec,
+        organisation_table::OrganisationTable,
+        priority_ranks::{MAX_RANK, PriorityRanks},
     },
 };
 use slotmap::{SlotMap, new_key_type};
@@ -152,7 +153,7 @@
     /// most important. Without organisations, it is the priority of the route.
     pub fn rank(&self, organisation: Option<&OrganisationSpec>, route: &RouteSpec) -> u8 {
         if self.organisations.is_none() {
-            return route.priority;
+            return route.priority.min(MAX_RANK);
         }
         let priority = organisation.map(|organisation| organisation.priority);
         self.ranks.rank(priority, route.priority)
--- a/src/decision/organisation/priority_ranks.rs
+++ b/src/decision/organisation/priority_ranks.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-/// Number of ranks. The admission gate has one class level for each, besides that of nested calls.
-const MAX_RANKS: usize = 6;
+/// Greatest rank. The admission gate has a class level for each rank, besides that of nested calls.
+pub const MAX_RANK: u8 = 5;
 
 /// Ranks of the pairs of an organisation's and a route's priority that a configuration contains. The
 /// least important pairs share the last rank if there are too many.
@@ -36,6 +36,6 @@
         let least = self.organisations.len().saturating_sub(1);
         let group = organisation.map_or(least, |priority| position(&self.organisations, priority));
         let rank = group * self.routes.len() + position(&self.routes, route);
-        u8::try_from(rank.min(MAX_RANKS - 1)).unwrap_or(u8::MAX)
+        u8::try_from(rank).map_or(MAX_RANK, |rank| rank.min(MAX_RANK))
     }
 }
--- a/src/emulator/emulated_daemon.rs
+++ b/src/emulator/emulated_daemon.rs
@@ -18,7 +18,7 @@
         },
     },
     emulator::emulated_request::RequestKey,
-    mesh::executor::{gate_limits, mean_run_time},
+    mesh::{counted_run::mean_run_time, executor::gate_limits},
 };
 use std::net::IpAddr;
 
--- a/src/http1/header_list.rs
+++ b/src/http1/header_list.rs
@@ -1,6 +1,6 @@
 //! Header fields of one message.
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
 
 /// Header fields in the order of the message. Names and values are slices of the buffer that holds
 /// the message head.
@@ -63,6 +63,14 @@
     }
 }
 
+/// Appends a field line.
+pub fn put_field(lines: &mut BytesMut, name: &[u8], value: &[u8]) {
+    lines.put_slice(name);
+    lines.put_slice(b": ");
+    lines.put_slice(value);
+    lines.put_slice(b"\r\n");
+}
+
 /// Hop-by-hop fields and fields that frame the body.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -5,11 +5,14 @@
 //! instance, which admits it and runs it at its backend server ([`executor`]).
 
 pub mod attempt_history;
+pub mod attempt_runner;
+pub mod backend_exchange;
 pub mod backend_pool;
 pub mod caller_connection;
 pub mod caller_response;
 pub mod connection_end;
 pub mod context_headers;
+pub mod counted_run;
 pub mod crash_monitor;
 pub mod entry_proxy;
 pub mod executor;
--- a/src/mesh/attempt_history.rs
+++ b/src/mesh/attempt_history.rs
@@ -142,3 +142,13 @@
         },
     }
 }
+
+/// Returns the log level for the result of a request or attempt. Most succeed, and only the others
+/// are needed to trace a fault.
+pub fn log_level(is_served: bool) -> log::Level {
+    if is_served {
+        log::Level::Debug
+    } else {
+        log::Level::Info
+    }
+}
--- a/src/mesh/caller_response.rs
+++ b/src/mesh/caller_response.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     common::*,
-    http1::message_head::RequestHead,
+    http1::{header_list::put_field, message_head::RequestHead},
     mesh::{context_headers::ContextHeaders, peer_frame::RunResponse},
 };
 use bytes::{Bytes, BytesMut};
@@ -168,16 +168,18 @@
     ) -> Self {
         let mut header_lines = BytesMut::new();
         if !attempt_id.is_empty() {
-            header_lines.extend_from_slice(headers.attempt.as_bytes());
-            header_lines.extend_from_slice(b": ");
-            header_lines.extend_from_slice(attempt_id);
-            header_lines.extend_from_slice(b"\r\n");
+            put_field(&mut header_lines, headers.attempt.as_bytes(), attempt_id);
         }
         if let Some(delay) = retry_after {
-            let line = format!("{}: {:.3}\r\n", headers.retry_after_s, delay.as_secs_f64());
-            header_lines.extend_from_slice(line.as_bytes());
+            let seconds = format!("{:.3}", delay.as_secs_f64());
+            let name = headers.retry_after_s.as_bytes();
+            put_field(&mut header_lines, name, seconds.as_bytes());
         }
-        header_lines.extend_from_slice(format!("skylark-reason: {}\r\n", reason.name()).as_bytes());
+        put_field(
+            &mut header_lines,
+            b"skylark-reason",
+            reason.name().as_bytes(),
+        );
         Self {
             status: reason.status(),
             header_lines: header_lines.freeze(),
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -7,50 +7,31 @@
         admission::admission_gate::{GateRequest, ShedReason, WorkResult},
         clock::Clock,
         mesh::{
-            call_counts::{CallCounts, RunKey},
-            crash_id::CrashId,
-            crash_suspects::SuspectVerdict,
-            instance_selector::LoadReport,
-            load_summary::{LoadSummary, RouteRuns},
-            request_fingerprint::RequestFingerprint,
-            server_notes::ServerNotes,
+            call_counts::CallCounts, crash_id::CrashId, crash_suspects::SuspectVerdict,
+            instance_selector::LoadReport, load_summary::LoadSummary,
+            request_fingerprint::RequestFingerprint, server_notes::ServerNotes,
             service_times::ServiceTimes,
         },
         profile::service_profile::AdmissionLimits,
         request_priority::RequestPriority,
     },
-    http1::{
-        byte_budget::ByteBudget,
-        client_connection::{BodyLimits, ClientConnection, ExchangeError, ServerResponse},
-        message_head::ResponseHead,
-    },
+    http1::client_connection::{ClientConnection, ExchangeError},
     mesh::{
-        backend_pool::BackendPool,
+        backend_exchange::BackendExchange,
         context_headers::ContextHeaders,
+        counted_run::{CountedRun, mean_run_time},
         crash_monitor::{CrashMonitor, ServerCheck},
-        peer_frame::{
-            CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResponse, RunResult,
-            UnknownReason,
-        },
+        peer_frame::{CallFrame, NESTED_CLASS, NotRunReason, ReplyFrame, RunResult, UnknownReason},
         server_state::ServerState,
         suspect_controller::{IsolatedRun, SuspectController},
     },
 };
-use bytes::{BufMut, BytesMut};
 use std::{
     net::IpAddr,
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 use tokio::time::timeout_at;
 
-/// Largest body of a response, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 64 << 20;
-
-/// Memory for the bodies of all responses that are received at the same time, in bytes. One body
-/// gets at most half of what the others leave. The smallest machines have 160 MB, and a buffer that
-/// grows needs up to twice the size of its content.
-const RESPONSE_BUDGET_BYTES: u64 = 48 << 20;
-
 /// Time after the deadline in which the backend server can still report the timeout itself.
 const RESPONSE_GRACE: Duration = Duration::from_millis(20);
 
@@ -75,11 +56,9 @@
 /// Runs requests at the local backend server and limits their concurrency to its slots.
 pub struct Executor {
     service: SmolStr,
-    headers: ContextHeaders,
     clock: Arc<dyn Clock>,
     gate: Arc<GateController>,
-    pool: BackendPool,
-    body_limits: BodyLimits,
+    backend: BackendExchange,
     service_times: Mutex<ServiceTimes>,
     call_counts: Mutex<CallCounts>,
     /// What the backend server says of itself.
@@ -101,15 +80,12 @@
     ) -> Self {
         Self {
             service,
-            headers,
             gate: Arc::new(GateController::new(
                 gate_limits(DEFAULT_SLOTS),
                 Arc::clone(&clock),
             )),
+            backend: BackendExchange::new(backend, headers, Arc::clone(&clock)),
             clock,
-            pool: BackendPool::new(backend),
-            body_limits: BodyLimits::new(MAX_RESPONSE_BYTES)
-                .with_budget(Arc::new(ByteBudget::new(RESPONSE_BUDGET_BYTES))),
             service_times: Mutex::default(),
             call_counts: Mutex::default(),
             server: ServerState::default(),
@@ -296,7 +272,10 @@
                 Some(started.ok_or(NotRunReason::Busy)?)
             }
         };
-        let taking = self.pool.take(call.is_at_most_once, self.clock.now());
+        let taking = self
+            .backend
+            .pool
+            .take(call.is_at_most_once, self.clock.now());
         let connection = taking.await.map_err(|error| {
             log::info!(
                 "executor: Cannot reach the backend server for {}: {error}.",
@@ -320,9 +299,11 @@
         let started = self.clock.now();
         let remaining = deadline.saturating_duration_since(started);
         let expected = self.server.expected_id(&call.instance);
-        let mut run = CountedRun::start(self, &call.route);
+        let mut run = CountedRun::start(&self.call_counts, self.clock.as_ref(), &call.route);
         self.run_count.fetch_add(1, Ordering::Relaxed);
-        let exchange = self.exchange(connection, call, &expected, remaining);
+        let exchange = self
+            .backend
+            .exchange(connection, call, &expected, remaining);
         let Ok(response) = timeout_at((deadline + RESPONSE_GRACE).into(), exchange).await else {
             let result = RunResult::Unknown(UnknownReason::Timeout);
             return (result.into(), WorkResult::Aborted);
@@ -331,7 +312,10 @@
         let end = match response {
             Ok(response) => {
                 self.crash_monitor.record_response();
-                self.classify_response(call, response, started).into()
+                let result = self
+                    .backend
+                    .classify_response(&self.server, call, response, started);
+                result.into()
             }
             Err(error) => self.classify_error(call, &error).await,
         };
@@ -376,7 +360,7 @@
         let crash = match self.crash_monitor.check().await {
             ServerCheck::Crashed(crash) => crash,
             ServerCheck::Running(connection) => {
-                self.pool.put_unused(connection, self.clock.now());
+                self.backend.pool.put_unused(connection, self.clock.now());
                 return None;
             }
             ServerCheck::Unknown => return None,
@@ -452,105 +436,6 @@
         let max_wait = Duration::from_millis(call.max_wait_ms.into());
         deadline.min(self.clock.now() + max_wait + service_time)
     }
-
-    async fn exchange(
-        &self,
-        mut connection: ClientConnection,
-        call: &CallFrame,
-        expected: &SmolStr,
-        remaining: Duration,
-    ) -> Result<ServerResponse, ExchangeError> {
-        let request = self.request_bytes(call, expected, remaining);
-        let attempt = self.headers.attempt;
-        // A response without an attempt identifier can only report that the request was not run.
-        let matches_attempt = |head: &ResponseHead| {
-            let response_attempt = head.headers.get(attempt);
-            response_attempt.is_none_or(|response_attempt| response_attempt == call.attempt_id)
-        };
-        let response = connection
-            .exchange(
-                &request,
-                call.method == "HEAD",
-                &self.body_limits,
-                matches_attempt,
-            )
-            .await?;
-        if response.is_reusable {
-            self.pool.put(connection, &response.head, self.clock.now());
-        }
-        Ok(response)
-    }
-
-    fn request_bytes(&self, call: &CallFrame, expected: &str, remaining: Duration) -> BytesMut {
-        let mut request = BytesMut::with_capacity(call.head.len() + call.body.len() + 128);
-        request.extend_from_slice(&call.head);
-        let deadline_ms = remaining.as_millis();
-        let lines = format!(
-            "{}: {deadline_ms}\r\n{}: {expected}\r\n",
-            self.headers.deadline_ms, self.headers.expected_instance
-        );
-        request.extend_from_slice(lines.as_bytes());
-        let has_body = !call.body.is_empty() || matches!(call.method.as_str(), "POST" | "PUT");
-        if has_body {
-            request
-                .extend_from_slice(format!("Content-Length: {}\r\n", call.body.len()).as_bytes());
-        }
-        request.extend_from_slice(b"\r\n");
-        request.extend_from_slice(&call.body);
-        request
-    }
-
-    /// Returns the result of a run from the response to the request that was sent at `sent_at`.
-    fn classify_response(
-        &self,
-        call: &CallFrame,
-        response: ServerResponse,
-        sent_at: Instant,
-    ) -> RunResult {
-        let ServerResponse { head, body, .. } = response;
-        let headers = &head.headers;
-        if head.status == 421 {
-            // The backend server has restarted, and its new id is not published yet.
-            if let Some(id) = headers.text(self.headers.instance) {
-                log::info!("executor: The backend server reports the new id {id}.");
-                self.server.set_reported(id);
-            }
-            return RunResult::NotRun(NotRunReason::OtherInstance);
-        }
-        let is_signed = headers.get(self.headers.signature).is_some();
-        let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
-        if matches_attempt {
-            let now = self.clock.now();
-            self.server
-                .observe(headers, &self.headers, is_signed, sent_at, now);
-        }
-        if headers.get(self.headers.not_executed).is_some() {
-            return RunResult::NotRun(NotRunReason::Refused);
-        }
-        // Callers request no content encoding, so an encoded body was changed on the way.
-        let is_encoded = headers.get("Content-Encoding").is_some();
-        if !matches_attempt || is_encoded || (!is_signed && head.status < 300) {
-            log::info!(
-                "executor: The response to {} is invalid: status {}, signed {is_signed}, matching \
-                 attempt {matches_attempt}, encoded {is_encoded}.",
-                call.attempt_id.escape_ascii(),
-                head.status
-            );
-            return RunResult::Unknown(UnknownReason::Invalid);
-        }
-        let mut lines = BytesMut::new();
-        for (name, value) in headers.end_to_end(|_| false) {
-            lines.put_slice(name);
-            lines.put_slice(b": ");
-            lines.put_slice(value);
-            lines.put_slice(b"\r\n");
-        }
-        RunResult::Response(RunResponse {
-            status: head.status,
-            head: lines.freeze(),
-            body,
-        })
-    }
 }
 
 /// End of a run.
@@ -575,39 +460,6 @@
     }
 }
 
-/// Counts a run as in flight until it is dropped.
-struct CountedRun<'a> {
-    executor: &'a Executor,
-    key: RunKey,
-    is_successful: bool,
-}
-
-impl<'a> CountedRun<'a> {
-    fn start(executor: &'a Executor, route: &SmolStr) -> Self {
-        let now = executor.clock.now();
-        Self {
-            executor,
-            key: executor.call_counts.lock().record_start(route, now),
-            is_successful: false,
-        }
-    }
-}
-
-impl Drop for CountedRun<'_> {
-    fn drop(&mut self) {
-        let now = self.executor.clock.now();
-        let mut counts = self.executor.call_counts.lock();
-        counts.record_end(self.key, self.is_successful, now);
-    }
-}
-
-/// Returns the mean time of the runs of all routes; zero without any.
-pub fn mean_run_time(runs: &[RouteRuns]) -> Duration {
-    let count: f32 = runs.iter().map(|run| run.count).sum();
-    let time_s: f32 = runs.iter().map(|run| run.count * run.mean_time_s).sum();
-    Duration::try_from_secs_f32(time_s / count).unwrap_or_default()
-}
-
 /// Returns the limits of the gate in front of a backend server with a number of slots.
 pub fn gate_limits(slots: u32) -> AdmissionLimits {
     let concurrency = ((f64::from(slots) * MAX_SLOT_SHARE) as u32).max(1);
--- a/src/mesh/forwarded_head.rs
+++ b/src/mesh/forwarded_head.rs
@@ -1,6 +1,6 @@
 //! Heads of requests as they are forwarded to backend servers.
 
-use crate::http1::message_head::RequestHead;
+use crate::http1::{header_list::put_field, message_head::RequestHead};
 use bytes::{BufMut, Bytes, BytesMut};
 
 /// Size for which memory is reserved, in bytes. Most heads are smaller.
@@ -22,14 +22,11 @@
     lines.put_u8(b' ');
     lines.put_slice(head.target.as_bytes());
     lines.put_slice(b" HTTP/1.1\r\n");
-    let kept = head.headers.end_to_end(is_dropped);
-    let added = added.into_iter();
-    for (name, value) in kept.chain(added.map(|(name, value)| (name.as_bytes(), value.as_bytes())))
-    {
-        lines.put_slice(name);
-        lines.put_slice(b": ");
-        lines.put_slice(value);
-        lines.put_slice(b"\r\n");
+    for (name, value) in head.headers.end_to_end(is_dropped) {
+        put_field(&mut lines, name, value);
+    }
+    for (name, value) in added {
+        put_field(&mut lines, name.as_bytes(), value.as_bytes());
     }
     lines.freeze()
 }
