--- a/review/standins/case_cut.rs
+++ b/review/standins/case_cut.rs
@@ -18,9 +18,9 @@
 const WORK: Duration = Duration::from_millis(210);
 
 /// Length of the cut.
-const CUT: Duration = Duration::from_millis(5_000);
+const CUT: Duration = Duration::from_millis(4_700);
 
-const INTERVAL: Duration = Duration::from_millis(20);
+const INTERVAL: Duration = Duration::from_millis(12);
 
 /// Plays the case; returns the violations.
 pub fn play(stage: &Stage) -> io::Result<Vec<String>> {
--- a/review/standins/machine.rs
+++ b/review/standins/machine.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::{self, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -24,27 +24,45 @@
 }
 
 impl Ports {
-    /// Finds free ports.
+    /// Finds ports that are free on all machines.
     pub fn find() -> io::Result<Self> {
-        let listeners: Vec<TcpListener> = (0..7)
-            .map(|_| TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)))
-            .collect::<io::Result<_>>()?;
-        let port = |index: usize| listeners[index].local_addr().map(|address| address.port());
-        Ok(Self {
-            store: port(0)?,
-            app: port(1)?,
-            outbound: port(2)?,
-            readiness: port(3)?,
-            peer: port(4)?,
-            other_peer: port(5)?,
-            control: port(6)?,
-        })
+        let mut held = Vec::new();
+        let mut ports = Vec::new();
+        for _ in 0..MAX_TRIALS {
+            let listener = TcpListener::bind((machine_ip(0), 0))?;
+            let port = listener.local_addr()?.port();
+            let is_free = |machine| TcpListener::bind((machine_ip(machine), port)).is_ok();
+            if (1..=MAX_MACHINE).all(is_free) {
+                ports.push(port);
+            }
+            held.push(listener);
+            if let [store, app, outbound, readiness, peer, other_peer, control] = ports[..] {
+                return Ok(Self {
+                    store,
+                    app,
+                    outbound,
+                    readiness,
+                    peer,
+                    other_peer,
+                    control,
+                });
+            }
+        }
+        Err(io::Error::other("no free ports"))
     }
 }
 
+/// Most ports that are tried, and the greatest number of a machine.
+const MAX_TRIALS: usize = 50;
+const MAX_MACHINE: u8 = 9;
+
+/// Number of networks that the cases use, so that those that run at the same time do not meet.
+const NETWORKS: u32 = 200;
+
 /// Returns the loopback address of a machine. Machine 0 is the platform's.
 pub fn machine_ip(machine: u8) -> IpAddr {
-    IpAddr::from([127, 0, 40, 10 + machine])
+    let network = 40 + std::process::id() % NETWORKS;
+    IpAddr::from([127, 0, network as u8, 10 + machine])
 }
 
 fn address_of(machine: u8, port: u16) -> SocketAddr {
