--- a/review/standins/case_cut.rs
+++ b/review/standins/case_cut.rs
@@ -36,7 +36,7 @@
     let places = [
         (1, "kgn-a", "catalogue"),
         (2, "kgn-b", "bookings"),
-        (3, "kgn-c", "bookings"),
+        (3, "kgn-c", "catalogue"),
     ];
     for (machine, zone, service) in places {
         let id = format!("i-{machine}");
