Log why a request counts as not sent, and what a daemon knows of a resumed run

The entry now logs the run number of each attempt and why it was not sent; the link, on which connection and by which process a run was reported as not started; the daemon beside the backend server, the state of each resumed run; the executor, whether a response that says 'not executed' has the id of the attempt and is the first on its connection. skylark_resumed_runs counts the states. No decision is changed.

--- a/src/decision/mesh/run_table.rs
+++ b/src/decision/mesh/run_table.rs
@@ -34,9 +34,32 @@
     },
     Blocked {
         blocked_at: Instant,
+        cause: BlockCause,
     },
 }
 
+/// Why a run will not start, or is not known any more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BlockCause {
+    /// Its sender no longer waits for it.
+    Cancelled,
+    /// Its sender lost its connection and did not reconnect in time.
+    Orphaned,
+    /// Its sender resumed it, and it was not in the table.
+    Missing,
+}
+
+impl BlockCause {
+    /// Returns the name that is used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::Orphaned => "orphaned",
+            Self::Missing => "missing",
+        }
+    }
+}
+
 /// State of a run that is returned to its sender on a new connection.
 #[derive(Debug, Eq, PartialEq)]
 pub enum ResumedRun<T> {
@@ -45,7 +68,7 @@
     /// The run has ended.
     Finished(T),
     /// The run was cancelled or never arrived; it will not start if its message arrives later.
-    Blocked,
+    Blocked(BlockCause),
 }
 
 /// Runs that peers requested. Each run starts at most once.
@@ -88,10 +111,12 @@
     }
 
     /// Discards a run and its result, and prevents it from starting later.
-    pub fn block(&mut self, id: RunId, now: Instant) {
-        if let Some(RunState::Finished { bytes, .. }) =
-            self.runs.insert(id, RunState::Blocked { blocked_at: now })
-        {
+    pub fn block(&mut self, id: RunId, cause: BlockCause, now: Instant) {
+        let blocked = RunState::Blocked {
+            blocked_at: now,
+            cause,
+        };
+        if let Some(RunState::Finished { bytes, .. }) = self.runs.insert(id, blocked) {
             self.result_bytes -= bytes;
         }
     }
@@ -105,10 +130,10 @@
                 ResumedRun::Running
             }
             Some(RunState::Finished { result, .. }) => ResumedRun::Finished(result.clone()),
-            Some(RunState::Blocked { .. }) => ResumedRun::Blocked,
+            Some(RunState::Blocked { cause, .. }) => ResumedRun::Blocked(*cause),
             None => {
-                self.runs.insert(id, RunState::Blocked { blocked_at: now });
-                ResumedRun::Blocked
+                self.block(id, BlockCause::Missing, now);
+                ResumedRun::Blocked(BlockCause::Missing)
             }
         }
     }
@@ -138,7 +163,7 @@
                 dropped_bytes += if is_kept { 0 } else { *bytes };
                 is_kept
             }
-            RunState::Blocked { blocked_at } => *blocked_at + BLOCK_LIFETIME > now,
+            RunState::Blocked { blocked_at, .. } => *blocked_at + BLOCK_LIFETIME > now,
         });
         self.result_bytes -= dropped_bytes;
         let orphaned = self.runs.iter().filter_map(|(id, state)| match state {
--- a/src/http1/client_connection.rs
+++ b/src/http1/client_connection.rs
@@ -74,6 +74,8 @@
     pub body: Bytes,
     /// Whether the connection can carry another request.
     pub is_reusable: bool,
+    /// Whether the request was the first one on its connection.
+    pub is_first: bool,
 }
 
 /// Client connection that sends one request at a time.
@@ -84,6 +86,8 @@
     /// Whether a response to another request was received, after which the connection is not
     /// reused.
     skipped_response: bool,
+    /// Whether a request was sent before.
+    is_used: bool,
 }
 
 impl ClientConnection {
@@ -95,6 +99,7 @@
             stream,
             buffer: BytesMut::new(),
             skipped_response: false,
+            is_used: false,
         })
     }
 
@@ -122,13 +127,16 @@
             stream,
             buffer,
             skipped_response,
+            is_used,
         } = self;
+        let is_first = !std::mem::replace(is_used, true);
         let (mut reader, mut writer) = stream.split();
         let writing = async { writer.write_all(request).await };
         let mut incoming = IncomingResponse {
             reader: &mut reader,
             buffer,
             skipped_response,
+            is_first,
         };
         let reading = incoming.read(is_head, limits, matches_request);
         tokio::pin!(writing, reading);
@@ -156,6 +164,7 @@
     reader: &'a mut R,
     buffer: &'a mut BytesMut,
     skipped_response: &'a mut bool,
+    is_first: bool,
 }
 
 impl<R: AsyncReadExt + Unpin> IncomingResponse<'_, R> {
@@ -187,6 +196,7 @@
                 head,
                 body,
                 is_reusable,
+                is_first: self.is_first,
             });
         }
         Err(ExchangeError::SkippedResponses)
--- a/src/mesh/attempt_history.rs
+++ b/src/mesh/attempt_history.rs
@@ -45,7 +45,7 @@
     ) -> Option<Result<RunResponse, LocalReason>> {
         let is_retryable = route.semantics == RunSemantics::Idempotent;
         match result {
-            CallResult::NotSent => self.refusals += 1,
+            CallResult::NotSent(_) => self.refusals += 1,
             CallResult::Lost => {
                 self.reached += 1;
                 self.may_have_run = true;
@@ -107,7 +107,7 @@
 /// Describes the result of an attempt for the log.
 pub fn describe_result(result: &CallResult) -> SmolStr {
     match result {
-        CallResult::NotSent => SmolStr::new_static("not sent"),
+        CallResult::NotSent(reason) => format_smolstr!("not sent: {reason:?}"),
         CallResult::Lost => SmolStr::new_static("connection lost"),
         CallResult::Reply(reply) => {
             let load = reply.load;
--- a/src/mesh/attempt_runner.rs
+++ b/src/mesh/attempt_runner.rs
@@ -15,7 +15,7 @@
         caller_response::LocalReason,
         fleet_state::FleetState,
         peer_frame::{CallFrame, NESTED_CLASS, ReplyFrame, RunResponse},
-        peer_link::CallResult,
+        peer_link::{CallResult, UnsentReason},
         peer_links::PeerLinks,
         resolved_request::ResolvedRequest,
     },
@@ -201,6 +201,7 @@
             result: InstanceResult::Abandoned,
         };
         let frame = self.call_frame(request, instance, max_wait);
+        let run_number = frame.number;
         let result_deadline = request.deadline + RESULT_GRACE;
         let result = if instance.address.ip() == self.state.settings.peer.ip() {
             let running = self.state.executor.run_call(&frame, request.deadline);
@@ -211,7 +212,7 @@
             let address = SocketAddr::new(instance.address.ip(), port);
             match self.links.link(address) {
                 Some(link) => link.call(frame).result_by(result_deadline).await,
-                None => Some(CallResult::NotSent),
+                None => Some(CallResult::NotSent(UnsentReason::Unreachable)),
             }
         };
         let is_served = matches!(&result, Some(CallResult::Reply(reply))
@@ -221,6 +222,7 @@
             attempt:% = request.attempt_id.escape_ascii(),
             instance:% = instance.id,
             address:% = instance.address,
+            run = run_number,
             left_ms = request
                 .deadline
                 .saturating_duration_since(self.state.clock.now())
@@ -236,7 +238,7 @@
                 self.record_load(request, instance, reply);
                 instance_result(&reply.result)
             }
-            Some(CallResult::NotSent | CallResult::Lost) => InstanceResult::Failed,
+            Some(CallResult::NotSent(_) | CallResult::Lost) => InstanceResult::Failed,
             None => InstanceResult::Abandoned,
         };
         result
--- a/src/mesh/backend_exchange.rs
+++ b/src/mesh/backend_exchange.rs
@@ -104,8 +104,24 @@
         response: ServerResponse,
         sent_at: Instant,
     ) -> RunResult {
-        let ServerResponse { head, body, .. } = response;
+        let ServerResponse {
+            head,
+            body,
+            is_first,
+            ..
+        } = response;
         let headers = &head.headers;
+        let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
+        let is_unexecuted = headers.get(self.headers.not_executed).is_some();
+        if head.status == 421 || (is_unexecuted && !matches_attempt) {
+            log::info!(
+                attempt:% = call.attempt_id.escape_ascii(),
+                status = head.status,
+                matching = u64::from(matches_attempt),
+                first = u64::from(is_first);
+                "executor: The backend server says that it did not run a request."
+            );
+        }
         if head.status == 421 {
             // The backend server has restarted, and its new id is not published yet.
             if let Some(id) = headers.text(self.headers.instance) {
@@ -115,12 +131,11 @@
             return RunResult::NotRun(NotRunReason::OtherInstance);
         }
         let is_signed = headers.get(self.headers.signature).is_some();
-        let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
         if matches_attempt {
             let now = self.clock.now();
             server.observe(headers, &self.headers, is_signed, sent_at, now);
         }
-        if headers.get(self.headers.not_executed).is_some() {
+        if is_unexecuted {
             return RunResult::NotRun(NotRunReason::Refused);
         }
         // Callers request no content encoding, so an encoded body was changed on the way.
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -68,6 +68,7 @@
     store_failures: Counter,
     store_updates: Family<Labels, Counter>,
     silent_links: Counter,
+    resumed_runs: Family<Labels, Counter>,
     store_reading: Gauge,
     published: Gauge,
     server_leaving: Gauge,
@@ -102,6 +103,7 @@
             store_failures: Counter::default(),
             store_updates: Family::default(),
             silent_links: Counter::default(),
+            resumed_runs: Family::default(),
             store_reading: Gauge::default(),
             published: Gauge::default(),
             server_leaving: Gauge::default(),
@@ -162,6 +164,12 @@
             "Connections to peers closed because the peer was silent",
             silent_links,
         );
+        let resumed_runs = self.resumed_runs.clone();
+        registry.register(
+            "resumed_runs",
+            "Runs that senders asked for on a new connection, by their state here",
+            resumed_runs,
+        );
         registry.register_with_unit(
             "store_response_age",
             "Time since the store last responded; 0 for a daemon that does not read it",
@@ -294,6 +302,12 @@
         self.silent_links.inc();
     }
 
+    /// Counts a run that its sender asked for on a new connection.
+    pub fn count_resumed_run(&self, state: &'static str) {
+        let labels = vec![("state", state.to_owned())];
+        self.resumed_runs.get_or_create(&labels).inc();
+    }
+
     /// Writes all metrics in the OpenMetrics text format.
     pub fn text(&self, load: LoadReport, view: &ViewReport) -> String {
         self.store_reading.set(view.response_age.is_some().into());
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -35,11 +35,22 @@
     /// The peer sent the result of the run.
     Reply(Arc<ReplyFrame>),
     /// The request was not sent, or the peer reported that it will not start.
-    NotSent,
+    NotSent(UnsentReason),
     /// The result was lost with the connection; the request may have run.
     Lost,
 }
 
+/// Why a request counts as not sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnsentReason {
+    /// There was no connection that could carry it.
+    Unreachable,
+    /// No connection carried it before the end of its time.
+    Expired,
+    /// It was sent, and the peer reported that it will not start.
+    Blocked,
+}
+
 /// Receives the events of a link.
 pub trait LinkObserver: Send + Sync {
     /// A connection to the peer was opened, or could not be opened.
@@ -114,7 +125,7 @@
         let call = pending.get(&self.number)?;
         let is_sent = call.frame.is_none();
         drop(pending);
-        (!is_sent).then_some(CallResult::NotSent)
+        (!is_sent).then_some(CallResult::NotSent(UnsentReason::Expired))
     }
 }
 
@@ -279,7 +290,7 @@
         let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
         self.link.complete_calls(|call| {
             if call.frame.is_some() {
-                return Some(CallResult::NotSent);
+                return Some(CallResult::NotSent(UnsentReason::Unreachable));
             }
             (is_refused || call.is_retryable).then_some(CallResult::Lost)
         });
@@ -383,12 +394,33 @@
         }
     }
 
+    /// Completes a call whose run will not start, as the peer reported on this connection.
+    fn block_call(&self, number: u64) {
+        let pending = self.link.pending.lock();
+        let sent_on = pending.get(&number).map(|call| call.connection_number);
+        drop(pending);
+        log::info!(
+            run = number,
+            sent_on = sent_on,
+            connection = self.connection_number,
+            process = self.peer_id;
+            "link: The daemon at {} reports that a run will not start.",
+            self.link.address
+        );
+        let result = CallResult::NotSent(UnsentReason::Blocked);
+        self.link.complete_call(number, result);
+    }
+
     fn receive(&mut self, frame: PeerFrame) {
         match frame {
             PeerFrame::Hello(hello) => {
                 if self.peer_id.is_some_and(|id| id != hello.daemon_id) {
                     // The peer lost the runs of earlier connections when it restarted.
-                    log::info!("link: The daemon at {} was restarted.", self.link.address);
+                    log::info!(
+                        process = hello.daemon_id, previous = self.peer_id;
+                        "link: The daemon at {} was restarted.",
+                        self.link.address
+                    );
                     self.link.complete_calls(|call| {
                         let is_earlier =
                             call.frame.is_none() && call.connection_number < self.connection_number;
@@ -408,7 +440,7 @@
             PeerFrame::Resumed {
                 number,
                 is_running: false,
-            } => self.link.complete_call(number, CallResult::NotSent),
+            } => self.block_call(number),
             _ => {}
         }
     }
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     common::*,
-    decision::mesh::run_table::{ResumedRun, RunId, RunTable},
+    decision::mesh::run_table::{BlockCause, ResumedRun, RunId, RunTable},
     mesh::{
         connection_end::ConnectionEnd,
         fleet_state::FleetState,
@@ -94,7 +94,7 @@
                 "peer: Cancelled the run {}: its sender did not reconnect.",
                 id.number
             );
-            self.cancel_run(id);
+            self.cancel_run(id, BlockCause::Orphaned);
         }
     }
 
@@ -103,8 +103,8 @@
         self.runs.lock().running()
     }
 
-    fn cancel_run(&self, id: RunId) {
-        self.runs.lock().block(id, self.state.clock.now());
+    fn cancel_run(&self, id: RunId, cause: BlockCause) {
+        self.runs.lock().block(id, cause, self.state.clock.now());
         if let Some(task) = self.tasks.lock().swap_remove(&id) {
             task.abort();
         }
@@ -160,12 +160,22 @@
         let now = self.state.clock.now();
         let resumed = self.runs.lock().resume(id, now);
         let number = id.number;
+        let state = match &resumed {
+            ResumedRun::Running => "running",
+            ResumedRun::Finished(_) => "finished",
+            ResumedRun::Blocked(cause) => cause.name(),
+        };
+        self.state.metrics.count_resumed_run(state);
+        log::info!(
+            run = number, sender = id.sender, state = state;
+            "peer: A sender asked for a run on a new connection."
+        );
         match resumed {
             ResumedRun::Running => PeerFrame::Resumed {
                 number,
                 is_running: true,
             },
-            ResumedRun::Blocked => PeerFrame::Resumed {
+            ResumedRun::Blocked(_) => PeerFrame::Resumed {
                 number,
                 is_running: false,
             },
@@ -262,7 +272,9 @@
                 let transit_time = self.transit_time(call.queued_at_us);
                 listener.start_run(id, call, transit_time);
             }
-            PeerFrame::Cancel { number } => listener.cancel_run(RunId { sender, number }),
+            PeerFrame::Cancel { number } => {
+                listener.cancel_run(RunId { sender, number }, BlockCause::Cancelled);
+            }
             PeerFrame::Resume { numbers } => {
                 for number in numbers {
                     listener.resume_run(RunId { sender, number }).encode(output);
--- a/tests/mesh/attempt_history.rs
+++ b/tests/mesh/attempt_history.rs
@@ -6,7 +6,7 @@
     mesh::{
         attempt_history::AttemptHistory,
         peer_frame::{NotRunReason, ReplyFrame, RunResult, UnknownReason},
-        peer_link::CallResult,
+        peer_link::{CallResult, UnsentReason},
     },
 };
 use std::sync::Arc;
@@ -34,7 +34,7 @@
         reply(RunResult::NotRun(NotRunReason::Busy)),
         reply(RunResult::Unknown(UnknownReason::Broken)),
         reply(RunResult::NotRun(NotRunReason::Busy)),
-        CallResult::NotSent,
+        CallResult::NotSent(UnsentReason::Unreachable),
         reply(RunResult::NotRun(NotRunReason::Refused)),
     ] {
         assert_eq!(history.record_result(result, &route), None);
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -456,7 +456,7 @@
     let call = scenario.link.call(scenario.call(1));
     let limit = Instant::now() - Duration::from_millis(10);
     let result = call.result_by(limit).await;
-    assert!(matches!(result, Some(CallResult::NotSent)), "{result:?}");
+    assert!(matches!(result, Some(CallResult::NotSent(_))), "{result:?}");
     let CallResult::Reply(reply) = scenario.link.call(scenario.call(2)).result().await else {
         panic!("the result was lost");
     };
--- a/tests/mesh/run_table.rs
+++ b/tests/mesh/run_table.rs
@@ -3,7 +3,7 @@
 use crate::fixed_seeds;
 use skylarkstream::decision::{
     clock::{Clock, ManualClock},
-    mesh::run_table::{ResumedRun, RunId, RunTable},
+    mesh::run_table::{BlockCause, ResumedRun, RunId, RunTable},
 };
 use std::{collections::BTreeSet, time::Duration};
 
@@ -19,7 +19,10 @@
 fn unknown_run_is_blocked_when_its_sender_resumes_it() {
     let now = ManualClock::new().now();
     let mut runs = RunTable::<u8>::new();
-    assert_eq!(runs.resume(id(1), now), ResumedRun::Blocked);
+    assert_eq!(
+        runs.resume(id(1), now),
+        ResumedRun::Blocked(BlockCause::Missing)
+    );
     assert!(!runs.start(id(1)));
 }
 
@@ -66,12 +69,12 @@
                     }
                 }
                 1 => {
-                    runs.block(id(number), clock.now());
+                    runs.block(id(number), BlockCause::Cancelled, clock.now());
                     blocked.insert(number);
                 }
                 2 => runs.finish(id(number), 1, 1, clock.now()),
                 3 => {
-                    if runs.resume(id(number), clock.now()) == ResumedRun::Blocked {
+                    if let ResumedRun::Blocked(_) = runs.resume(id(number), clock.now()) {
                         blocked.insert(number);
                     }
                 }
