Show three ways in which a request that ran is reported as not run

Each test fails on the present code, one for each hypothesis of docs/incidents/requests-that-ran-twice.md, and two for the third:

- run_that_began_is_never_reported_as_blocked: the table of runs forgets a run that began.
- request_sent_to_an_earlier_process_may_have_run: a process that never had a request answers for the one that had it.
- late_copy_of_a_refusal_does_not_hide_a_run, late_refusal_without_an_id_does_not_hide_a_run: a refusal that belongs to another attempt counts for a request that is running.

--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -1,6 +1,6 @@
 //! Links between daemons through a proxy that resets or silences connections.
 
-use crate::stand_ins::{BackendStandIn, Behaviour, free_port, loopback};
+use crate::stand_ins::{BackendStandIn, Behaviour, RefusalStyle, free_port, loopback};
 use bytes::{Bytes, BytesMut};
 use skylarkstream::{
     decision::clock::SystemClock,
@@ -8,7 +8,8 @@
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
         peer_frame::{
-            CallFrame, HelloFrame, LoadFrame, NESTED_CLASS, PeerFrame, RunResult, StoreUpdateFrame,
+            CallFrame, HelloFrame, LoadFrame, NESTED_CLASS, NotRunReason, PeerFrame, RunResult,
+            StoreUpdateFrame,
         },
         peer_link::{CallResult, LinkObserver, PeerLink},
         peer_links::PeerLinks,
@@ -448,6 +449,81 @@
     }
 }
 
+/// Guards against an at-most-once request that runs again elsewhere, because the process of the peer
+/// that got it ended before its handshake arrived, and the next process has never had it.
+#[tokio::test]
+async fn request_sent_to_an_earlier_process_may_have_run() {
+    let scenario = Scenario::start().await;
+    let listener = TcpListener::bind(loopback(1, 0))
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let observer: Arc<dyn LinkObserver> = Arc::clone(&scenario.observer) as _;
+    let call = PeerLink::start(address, observer).call(scenario.call(1));
+    let (mut earlier, _) = listener.accept().await.expect("a connection");
+    wait_for(&mut earlier, |frame| matches!(frame, PeerFrame::Call(_))).await;
+    drop(earlier);
+    let (mut current, _) = listener.accept().await.expect("a connection");
+    let mut bytes = BytesMut::new();
+    PeerFrame::Hello(FrameObserver::default().hello(address)).encode(&mut bytes);
+    let resumed = PeerFrame::Resumed {
+        number: 1,
+        is_running: false,
+    };
+    resumed.encode(&mut bytes);
+    current
+        .write_all(&bytes)
+        .await
+        .expect("the messages are sent");
+    let result = timeout(TEST_TIMEOUT, call.result()).await;
+    assert!(matches!(result, Ok(CallResult::Lost)), "{result:?}");
+}
+
+/// Guards against a run that is reported as not run, because the backend server sends its refusal of
+/// the same request a second time: it had a new id, and the request was sent again on the connection.
+#[tokio::test]
+async fn late_copy_of_a_refusal_does_not_hide_a_run() {
+    let scenario = Scenario::start().await;
+    *scenario.backend.refusals.lock() = RefusalStyle::Twice;
+    *scenario.backend.id.lock() = "i-2".to_owned();
+    let CallResult::Reply(reply) = scenario.link.call(scenario.call(1)).result().await else {
+        panic!("the result was lost");
+    };
+    assert_eq!(scenario.backend.run_count(), 1);
+    assert!(
+        matches!(reply.result, RunResult::Response(_)),
+        "{:?}",
+        reply.result
+    );
+}
+
+/// Guards against a run that is reported as not run, because a refusal without the id of an attempt
+/// arrives late, on a connection that is in use again.
+#[tokio::test]
+async fn late_refusal_without_an_id_does_not_hide_a_run() {
+    let scenario = Scenario::start().await;
+    *scenario.backend.refusals.lock() = RefusalStyle::TwiceWithoutId;
+    scenario.backend.set(Behaviour::Refuse);
+    let CallResult::Reply(refused) = scenario.link.call(scenario.call(1)).result().await else {
+        panic!("the result was lost");
+    };
+    assert_eq!(
+        refused.result,
+        RunResult::NotRun(NotRunReason::Refused),
+        "the first response on a connection belongs to its request"
+    );
+    scenario.backend.set(Behaviour::Respond);
+    let CallResult::Reply(reply) = scenario.link.call(scenario.call(2)).result().await else {
+        panic!("the result was lost");
+    };
+    assert_eq!(scenario.backend.run_count(), 1);
+    assert!(
+        matches!(reply.result, RunResult::Response(_)),
+        "{:?}",
+        reply.result
+    );
+}
+
 /// Guards against a result that says that a request may have run although it was never sent.
 #[tokio::test]
 async fn request_that_was_not_sent_in_time_is_reported_as_not_sent() {
--- a/tests/mesh/run_table.rs
+++ b/tests/mesh/run_table.rs
@@ -51,6 +51,45 @@
     assert_eq!(runs.expire(ORPHAN_TIMEOUT, clock.now()), [id(1)]);
 }
 
+/// Guards against a run that began and is reported to its sender as one that will not start, after
+/// which the sender has the request run again elsewhere: under any order of messages, lost
+/// connections, long waits and large results.
+#[test]
+fn run_that_began_is_never_reported_as_blocked() {
+    fixed_seeds::check(|random| {
+        let clock = ManualClock::new();
+        let mut runs = RunTable::<u8>::new();
+        let mut began = BTreeSet::new();
+        for _ in 0..60 {
+            let number = u64::from(random.int_in_range(1..=6_u8)?);
+            match random.choose_index(6)? {
+                0 => {
+                    if runs.start(id(number)) {
+                        began.insert(number);
+                    }
+                }
+                1 => {
+                    let bytes = random.int_in_range(0..=6_usize << 20)?;
+                    runs.finish(id(number), 1, bytes, clock.now());
+                }
+                2 => runs.orphan(1, clock.now()),
+                3 => {
+                    for orphaned in runs.expire(ORPHAN_TIMEOUT, clock.now()) {
+                        runs.block(orphaned, BlockCause::Orphaned, clock.now());
+                    }
+                }
+                4 => {
+                    let resumed = runs.resume(id(number), clock.now());
+                    let is_blocked = matches!(resumed, ResumedRun::Blocked(_));
+                    assert!(!is_blocked || !began.contains(&number), "run {number}");
+                }
+                _ => clock.advance(Duration::from_millis(random.int_in_range(0..=6_000)?)),
+            }
+        }
+        Ok(())
+    });
+}
+
 /// Guards against a second start of a run under any order of messages, cancellations and results.
 #[test]
 fn run_starts_at_most_once() {
--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -52,6 +52,17 @@
     Fail,
 }
 
+/// How a backend server sends a response that says that a request was not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalStyle {
+    /// Once, with the id of the attempt.
+    Once,
+    /// With the id, and again ahead of the next response on the connection.
+    Twice,
+    /// Without the id, and again ahead of the next response on the connection.
+    TwiceWithoutId,
+}
+
 /// Backend server that records the requests it runs.
 pub struct BackendStandIn {
     /// Instance id.
@@ -61,6 +72,8 @@
     pub header_lines: Mutex<String>,
     /// Heads of the requests that were run.
     pub runs: Mutex<Vec<String>>,
+    /// How refusals of requests are sent.
+    pub refusals: Mutex<RefusalStyle>,
     /// Number of connections that were closed while a request was held.
     pub cancelled: Mutex<usize>,
     /// Lets the held requests complete.
@@ -81,6 +94,7 @@
             id: Mutex::new(id.to_owned()),
             behaviour: Mutex::new(Behaviour::Respond),
             header_lines: Mutex::default(),
+            refusals: Mutex::new(RefusalStyle::Once),
             runs: Mutex::default(),
             cancelled: Mutex::default(),
             release: tokio::sync::Notify::new(),
@@ -129,26 +143,38 @@
         self.runs.lock().len()
     }
 
+    /// Sends a response that says that a request was not run; returns the copy that is due ahead of
+    /// the next response.
+    async fn refuse(&self, stream: &mut TcpStream, attempt: &str, lines: &str) -> Option<String> {
+        let style = *self.refusals.lock();
+        let id_line = match style {
+            RefusalStyle::TwiceWithoutId => String::new(),
+            _ => format!("Attempt-Id: {attempt}\r\n"),
+        };
+        let response = format!("HTTP/1.1 {lines}{id_line}Content-Length: 0\r\n\r\n");
+        let _ = stream.write_all(response.as_bytes()).await;
+        (style != RefusalStyle::Once).then_some(response)
+    }
+
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let mut copy: Option<String> = None;
         while let Some(head) = read_message(&mut stream).await {
+            if let Some(copy) = copy.take() {
+                let _ = stream.write_all(copy.as_bytes()).await;
+            }
             let attempt = field(&head, "attempt-id").unwrap_or_default();
             let expected = field(&head, "expect-instance");
             let id = self.id.lock().clone();
             if expected.is_some_and(|expected| expected != id) {
-                let response = format!(
-                    "HTTP/1.1 421 Misdirected\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
-                );
-                let _ = stream.write_all(response.as_bytes()).await;
+                let lines = format!("421 Misdirected\r\nInstance-Id: {id}\r\n");
+                copy = self.refuse(&mut stream, &attempt, &lines).await;
                 continue;
             }
             let behaviour = *self.behaviour.lock();
             let lines = self.header_lines.lock().clone();
             if behaviour == Behaviour::Refuse {
-                let response = format!(
-                    "HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n{lines}\
-                     Content-Length: 0\r\n\r\n"
-                );
-                let _ = stream.write_all(response.as_bytes()).await;
+                let lines = format!("503 Full\r\nNot-Executed: 1\r\n{lines}");
+                copy = self.refuse(&mut stream, &attempt, &lines).await;
                 continue;
             }
             self.runs.lock().push(head.clone());
