Report a run as not run only if it has not begun

Cause: the table of runs beside a backend server answered each question for a run that it did not know, or had stopped, with 'will not start'. That it does not know a run was taken for that the run did not happen.

Now the table records whether a run has begun, right before the request is written to the backend server; a stopped run cannot begin any more. Only a run that has not begun is reported as not run, by a reply that says so. One that has begun and whose result is gone is reported as unknown. Runs that were removed are bounded by one number for each sender, since senders count their runs. An at-most-once run that has begun is completed although its sender is out of touch, and its result is kept until its deadline; other results are dropped first, the largest first. An answer of an earlier build that it does not know a run counts as lost if the request may run at most once.

--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -10,6 +10,7 @@
 pub mod fleet_retry_budget;
 pub mod fleet_sums;
 pub mod fleet_view;
+pub mod forgotten_runs;
 pub mod instance_selector;
 mod instance_state;
 pub mod link_liveness;
--- a/src/mesh/attempt_runner.rs
+++ b/src/mesh/attempt_runner.rs
@@ -204,7 +204,8 @@
         let run_number = frame.number;
         let result_deadline = request.deadline + RESULT_GRACE;
         let result = if instance.address.ip() == self.state.settings.peer.ip() {
-            let running = self.state.executor.run_call(&frame, request.deadline);
+            let executor = &self.state.executor;
+            let running = executor.run_call(&frame, request.deadline, &|| true);
             let reply = timeout_at(result_deadline.into(), running).await;
             reply.ok().map(|reply| CallResult::Reply(Arc::new(reply)))
         } else {
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -53,6 +53,9 @@
 /// backend server names.
 pub const NESTED_LIMIT_WAIT_DIVISOR: u32 = 4;
 
+/// Last decision before a request is sent to the backend server: whether its run may begin.
+pub type RunBegin<'a> = dyn Fn() -> bool + Send + Sync + 'a;
+
 /// Runs requests at the local backend server and limits their concurrency to its slots.
 pub struct Executor {
     service: SmolStr,
@@ -177,9 +180,15 @@
     }
 
     /// Runs a request and returns its result and the load. `deadline` is when the caller stops
-    /// waiting.
-    pub async fn run_call(&self, call: &CallFrame, deadline: Instant) -> ReplyFrame {
-        let RunEnd { result, crash } = self.run(call, deadline).await;
+    /// waiting. `begin` is called right before the request is sent to the backend server, and returns
+    /// false if the run was stopped.
+    pub async fn run_call(
+        &self,
+        call: &CallFrame,
+        deadline: Instant,
+        begin: &RunBegin<'_>,
+    ) -> ReplyFrame {
+        let RunEnd { result, crash } = self.run(call, deadline, begin).await;
         let mean = self.service_times.lock().mean(&call.route);
         let notes = ServerNotes {
             crash,
@@ -212,18 +221,23 @@
 
     /// Runs a request. If the backend server reports a new id, the request is sent once more: the
     /// daemon has only one backend server, and it belongs to the requested service.
-    async fn run(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
+    async fn run(&self, call: &CallFrame, deadline: Instant, begin: &RunBegin<'_>) -> RunEnd {
         let previous = self.server.identity();
-        let end = self.run_attempt(call, deadline).await;
+        let end = self.run_attempt(call, deadline, begin).await;
         let has_new_id = self.server.identity() != previous;
         if end.result == RunResult::NotRun(NotRunReason::OtherInstance) && has_new_id {
-            return self.run_attempt(call, deadline).await;
+            return self.run_attempt(call, deadline, begin).await;
         }
         end
     }
 
     /// Sends a request to the backend server once it may start there.
-    async fn run_attempt(&self, call: &CallFrame, deadline: Instant) -> RunEnd {
+    async fn run_attempt(
+        &self,
+        call: &CallFrame,
+        deadline: Instant,
+        begin: &RunBegin<'_>,
+    ) -> RunEnd {
         if call.service != self.service {
             return NotRunReason::OtherInstance.into();
         }
@@ -239,7 +253,7 @@
             }
             Err(_) => return NotRunReason::Busy.into(),
         };
-        let (end, work_result) = match self.start_run(call, deadline).await {
+        let (end, work_result) = match self.start_run(call, deadline, begin).await {
             Ok((connection, isolated)) => {
                 let (end, work_result) = self.run_on(connection, call, deadline).await;
                 drop(isolated);
@@ -257,6 +271,7 @@
         &self,
         call: &CallFrame,
         deadline: Instant,
+        begin: &RunBegin<'_>,
     ) -> Result<(ClientConnection, Option<IsolatedRun>), NotRunReason> {
         if !self.wait_for_start(call, deadline).await {
             return Err(NotRunReason::Busy);
@@ -283,7 +298,7 @@
             );
             NotRunReason::Unreachable
         })?;
-        if self.clock.now() >= deadline {
+        if self.clock.now() >= deadline || !begin() {
             return Err(NotRunReason::Expired);
         }
         Ok((connection, isolated))
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -42,12 +42,12 @@
         /// Numbers of the runs.
         numbers: Vec<u64>,
     },
-    /// State of a run without a result: it is still running, or it never arrived or was cancelled
-    /// and will not start.
+    /// State of a run without a result.
     Resumed {
         /// Number of the run.
         number: u64,
-        /// Whether it is still running.
+        /// Whether it is still running. Only earlier builds send `false`, for each run that they do not
+        /// know: it may have run, too.
         is_running: bool,
     },
     /// Result of a run.
@@ -224,7 +224,8 @@
     Expired,
     /// The backend server refused the request without running it.
     Refused,
-    /// The connection to the backend server failed.
+    /// The connection to the backend server failed, or the request was lost on that between the
+    /// daemons.
     Unreachable,
 }
 
@@ -237,7 +238,8 @@
     Invalid,
     /// The response did not arrive before the deadline.
     Timeout,
-    /// The connection to the peer beside the backend server was lost.
+    /// The connection to the peer beside the backend server was lost, and the peer has no result any
+    /// more.
     Lost,
 }
 
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -34,7 +34,7 @@
 pub enum CallResult {
     /// The peer sent the result of the run.
     Reply(Arc<ReplyFrame>),
-    /// The request was not sent, or the peer reported that it will not start.
+    /// The request was not sent, or a peer of an earlier build reported that it will not start.
     NotSent(UnsentReason),
     /// The result was lost with the connection; the request may have run.
     Lost,
@@ -47,7 +47,7 @@
     Unreachable,
     /// No connection carried it before the end of its time.
     Expired,
-    /// It was sent, and the peer reported that it will not start.
+    /// It was sent, and a peer of an earlier build does not know it.
     Blocked,
 }
 
@@ -394,21 +394,26 @@
         }
     }
 
-    /// Completes a call whose run will not start, as the peer reported on this connection.
+    /// Completes a call of which a peer of an earlier build does not know a run. It may have forgotten
+    /// it.
     fn block_call(&self, number: u64) {
-        let pending = self.link.pending.lock();
-        let sent_on = pending.get(&number).map(|call| call.connection_number);
-        drop(pending);
+        let Some(call) = self.link.pending.lock().swap_remove(&number) else {
+            return;
+        };
         log::info!(
             run = number,
-            sent_on = sent_on,
+            sent_on = call.connection_number,
             connection = self.connection_number,
             process = self.peer_id;
-            "link: The daemon at {} reports that a run will not start.",
+            "link: The daemon at {} does not know a run.",
             self.link.address
         );
-        let result = CallResult::NotSent(UnsentReason::Blocked);
-        self.link.complete_call(number, result);
+        let result = if call.is_retryable {
+            CallResult::NotSent(UnsentReason::Blocked)
+        } else {
+            CallResult::Lost
+        };
+        let _ = call.result_sender.send(result);
     }
 
     fn receive(&mut self, frame: PeerFrame) {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     common::*,
-    decision::mesh::run_table::{BlockCause, ResumedRun, RunId, RunTable},
+    decision::mesh::run_table::{BlockCause, ResumedRun, RunId, RunTable, RunTerms, StartVerdict},
     mesh::{
         connection_end::ConnectionEnd,
         fleet_state::FleetState,
         forwarded_caller,
         peer_frame::{
             CallFrame, HelloFrame, LoadFrame, NotRunReason, PeerFrame, ReplyFrame, RunResult,
+            UnknownReason,
         },
         peer_links::PeerLinks,
         sender_connections::Outbox,
@@ -26,7 +27,7 @@
 /// Delay after a failed accept, for example because no file descriptor was free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time after which a run is cancelled whose sender has lost its connection. A sender detects a
+/// Time after which a run is stopped whose sender has lost its connection. A sender detects a
 /// silent connection within about 1.1 s (`CALL_SILENCE_LIMIT`, `CHECK_INTERVAL` and
 /// `MAX_CHECK_DELAY` of `link_liveness`) and needs up to 0.5 s to open a new one (`RECONNECT_DELAY` and
 /// `CONNECT_TIMEOUT`).
@@ -85,16 +86,16 @@
         }
     }
 
-    /// Cancels runs whose sender did not reconnect in time, and drops old results.
+    /// Stops runs whose sender did not reconnect in time, and drops old results.
     pub fn expire(&self) {
         let now = self.state.clock.now();
         let orphaned = self.runs.lock().expire(ORPHAN_TIMEOUT, now);
         for id in orphaned {
             log::info!(
-                "peer: Cancelled the run {}: its sender did not reconnect.",
+                "peer: Stopped the run {}: its sender did not reconnect.",
                 id.number
             );
-            self.cancel_run(id, BlockCause::Orphaned);
+            self.stop_run(id, BlockCause::Orphaned);
         }
     }
 
@@ -103,30 +104,41 @@
         self.runs.lock().running()
     }
 
-    fn cancel_run(&self, id: RunId, cause: BlockCause) {
-        self.runs.lock().block(id, cause, self.state.clock.now());
+    fn stop_run(&self, id: RunId, cause: BlockCause) {
+        self.runs.lock().stop(id, cause, self.state.clock.now());
         if let Some(task) = self.tasks.lock().swap_remove(&id) {
             task.abort();
         }
     }
 
     fn start_run(self: &Arc<Self>, id: RunId, mut call: Box<CallFrame>, transit_time: Duration) {
-        if !self.runs.lock().start(id) {
-            return;
-        }
         let state = &self.state;
-        let routes = state.routes();
-        if let Err(result) = forwarded_caller::identify(&mut call, routes.as_ref(), &state.headers)
-        {
-            return self.finish_run(id, state.executor.result_reply(call.number, result));
-        }
         let remaining = Duration::from_millis(call.remaining_ms.into());
         let remaining = if transit_time > MAX_TRANSIT_TIME {
             Duration::ZERO
         } else {
             remaining.saturating_sub(transit_time)
         };
-        let deadline = self.state.clock.now() + remaining;
+        let deadline = state.clock.now() + remaining;
+        let terms = RunTerms {
+            is_at_most_once: call.is_at_most_once,
+            deadline,
+        };
+        match self.runs.lock().start(id, terms) {
+            StartVerdict::Started => {}
+            StartVerdict::Known => return,
+            StartVerdict::Forgotten => {
+                let refusal = state
+                    .executor
+                    .refusal_reply(call.number, NotRunReason::Expired);
+                return self.send_reply(id, Arc::new(refusal));
+            }
+        }
+        let routes = state.routes();
+        if let Err(result) = forwarded_caller::identify(&mut call, routes.as_ref(), &state.headers)
+        {
+            return self.finish_run(id, state.executor.result_reply(call.number, result));
+        }
         let listener = Arc::clone(self);
         // The task cannot remove itself from the table before it is inserted, because the lock is
         // held.
@@ -134,7 +146,8 @@
         let task = tokio::spawn(async move {
             let state = &listener.state;
             let reply = if state.can_reach_needed_services(&call.route) {
-                state.executor.run_call(&call, deadline).await
+                let begin = || listener.runs.lock().begin(id);
+                state.executor.run_call(&call, deadline, &begin).await
             } else {
                 state.executor.refusal_reply(call.number, NotRunReason::Cut)
             };
@@ -150,8 +163,11 @@
             RunResult::Response(response) => response.head.len() + response.body.len(),
             _ => 0,
         };
-        let now = self.state.clock.now();
-        self.runs.lock().finish(id, Arc::clone(&reply), bytes, now);
+        self.runs.lock().finish(id, Arc::clone(&reply), bytes);
+        self.send_reply(id, reply);
+    }
+
+    fn send_reply(&self, id: RunId, reply: Arc<ReplyFrame>) {
         self.links.senders.send(id.sender, PeerFrame::Reply(reply));
     }
 
@@ -163,6 +179,7 @@
         let state = match &resumed {
             ResumedRun::Running => "running",
             ResumedRun::Finished(_) => "finished",
+            ResumedRun::Unknown => "unknown",
             ResumedRun::Blocked(cause) => cause.name(),
         };
         self.state.metrics.count_resumed_run(state);
@@ -170,17 +187,19 @@
             run = number, sender = id.sender, state = state;
             "peer: A sender asked for a run on a new connection."
         );
-        match resumed {
-            ResumedRun::Running => PeerFrame::Resumed {
-                number,
-                is_running: true,
-            },
-            ResumedRun::Blocked(_) => PeerFrame::Resumed {
-                number,
-                is_running: false,
-            },
-            ResumedRun::Finished(reply) => PeerFrame::Reply(reply),
-        }
+        let result = match resumed {
+            ResumedRun::Running => {
+                return PeerFrame::Resumed {
+                    number,
+                    is_running: true,
+                };
+            }
+            ResumedRun::Finished(reply) => return PeerFrame::Reply(reply),
+            ResumedRun::Unknown => RunResult::Unknown(UnknownReason::Lost),
+            ResumedRun::Blocked(_) => RunResult::NotRun(NotRunReason::Unreachable),
+        };
+        let reply = self.state.executor.result_reply(number, result);
+        PeerFrame::Reply(Arc::new(reply))
     }
 }
 
@@ -273,7 +292,7 @@
                 listener.start_run(id, call, transit_time);
             }
             PeerFrame::Cancel { number } => {
-                listener.cancel_run(RunId { sender, number }, BlockCause::Cancelled);
+                listener.stop_run(RunId { sender, number }, BlockCause::Cancelled);
             }
             PeerFrame::Resume { numbers } => {
                 for number in numbers {
