Do not believe a new process about requests of the previous one

What callers would see: an at-most-once request runs twice, or is answered 503 although it ran.

Cause: a link compares the ids in the handshakes of its peer to notice a restart. If the first connection ended before its handshake arrived, there was none to compare, and the answer of the next process that it does not know the request counted as 'not run'. That no restart was seen was taken for that there was none.

Now requests that were sent on an earlier connection are lost unless the process is known to be the same.

Evidence: request_sent_to_an_earlier_process_may_have_run failed before with NotSent(Blocked) and passes.

--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -419,13 +419,16 @@
     fn receive(&mut self, frame: PeerFrame) {
         match frame {
             PeerFrame::Hello(hello) => {
-                if self.peer_id.is_some_and(|id| id != hello.daemon_id) {
-                    // The peer lost the runs of earlier connections when it restarted.
-                    log::info!(
-                        process = hello.daemon_id, previous = self.peer_id;
-                        "link: The daemon at {} was restarted.",
-                        self.link.address
-                    );
+                if self.peer_id != Some(hello.daemon_id) {
+                    if self.peer_id.is_some() {
+                        log::info!(
+                            process = hello.daemon_id, previous = self.peer_id;
+                            "link: The daemon at {} was restarted.",
+                            self.link.address
+                        );
+                    }
+                    // Another process may have got the requests of earlier connections, also if its
+                    // handshake did not arrive.
                     self.link.complete_calls(|call| {
                         let is_earlier =
                             call.frame.is_none() && call.connection_number < self.connection_number;
