Attribute a refusal of a backend server to the attempt that it answers

What callers would see: an at-most-once request runs twice, or is answered 503 although it ran.

Cause: a response that says 'not executed' counted for the request in progress if it had no attempt id, or the same one. Backend servers send second copies of responses late. A request that got a 421 was sent again on the same connection, where a copy of the 421 has its id; a copy without an id passed for any request.

Now a response without an id counts only on a connection that carried no other request, and a connection is not used again after a 421.

Evidence: late_copy_of_a_refusal_does_not_hide_a_run and late_refusal_without_an_id_does_not_hide_a_run failed before, with NotRun(OtherInstance) and NotRun(Refused), and pass.

--- a/src/http1/client_connection.rs
+++ b/src/http1/client_connection.rs
@@ -113,6 +113,11 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether a request was sent on the connection.
+    pub fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Sends a request and reads its response. Responses for which `matches_request` returns false
     /// belong to other requests and are skipped. The response may arrive before the request is
     /// fully written. `is_head` is true if the method is `HEAD`.
--- a/src/mesh/backend_exchange.rs
+++ b/src/mesh/backend_exchange.rs
@@ -57,10 +57,14 @@
     ) -> Result<ServerResponse, ExchangeError> {
         let request = self.request_bytes(call, expected, remaining);
         let attempt = self.headers.attempt;
-        // A response without an attempt identifier can only report that the request was not run.
+        // A response without an attempt identifier can only report that a request was not run. On a
+        // connection that carried others, it may belong to one of those.
+        let accepts_no_id = !connection.is_used() || call.attempt_id.is_empty();
         let matches_attempt = |head: &ResponseHead| {
             let response_attempt = head.headers.get(attempt);
-            response_attempt.is_none_or(|response_attempt| response_attempt == call.attempt_id)
+            response_attempt.map_or(accepts_no_id, |response_attempt| {
+                response_attempt == call.attempt_id
+            })
         };
         let response = connection
             .exchange(
@@ -70,7 +74,9 @@
                 matches_attempt,
             )
             .await?;
-        if response.is_reusable {
+        // After this status the request may be sent again. A late copy of the response would have the
+        // same attempt identifier.
+        if response.is_reusable && response.head.status != 421 {
             self.pool.put(connection, &response.head, self.clock.now());
         }
         Ok(response)
