Withdraw a call under the lock that sends it

A request that was not sent by its deadline was reported as not sent, and removed from the link only when the call was dropped. In between, another thread could have sent it. The daemon of a fleet has one thread, so that this was not seen; no test shows it.

--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -121,11 +121,11 @@
             self.is_complete = true;
             return Some(result.unwrap_or(CallResult::Lost));
         }
-        let pending = self.link.pending.lock();
-        let call = pending.get(&self.number)?;
-        let is_sent = call.frame.is_none();
-        drop(pending);
-        (!is_sent).then_some(CallResult::NotSent(UnsentReason::Expired))
+        // Removed under the lock, so that it cannot be sent after it was reported as not sent.
+        let mut pending = self.link.pending.lock();
+        pending.get(&self.number)?.frame.as_ref()?;
+        pending.swap_remove(&self.number);
+        Some(CallResult::NotSent(UnsentReason::Expired))
     }
 }
 
