Do not report an attempt of the previous process as not run

A resume request whose root request entered before the process was started now gets 'unknown'.

Evidence: resume_of_an_attempt_older_than_the_process_is_unknown failed before with '409 not-run cancelled' and passes.

--- a/src/controller/run_records.rs
+++ b/src/controller/run_records.rs
@@ -19,6 +19,7 @@
 pub struct RunRecords<K: RunKey> {
     state: Mutex<RecordsState<K>>,
     clock: Arc<dyn Clock>,
+    created: Instant,
     cancels_abandoned_runs: bool,
 }
 
@@ -67,6 +68,7 @@
                 runs: IndexMap::new(),
                 unrecorded_until: None,
             }),
+            created: clock.now(),
             clock,
             cancels_abandoned_runs,
         }
@@ -97,12 +99,15 @@
         self.action(&mut state, key, decision)
     }
 
-    /// Decides on a resume request, which asks for the response to an earlier request.
-    pub fn resume(self: &Arc<Self>, key: K, expiry: Instant) -> RunAction<K> {
+    /// Decides on a resume request, which asks for the response to an earlier request that was sent at
+    /// `sent` or later. One that may be older than this table, which an earlier process may have run,
+    /// has an unknown result.
+    pub fn resume(self: &Arc<Self>, key: K, sent: Instant, expiry: Instant) -> RunAction<K> {
         let now = self.clock.now();
         let mut state = self.state.lock();
         let mut decision = state.table.resume(key, expiry, now);
-        let may_have_run = state.unrecorded_until.is_some_and(|until| now < until);
+        let may_have_run =
+            sent < self.created || state.unrecorded_until.is_some_and(|until| now < until);
         if decision == RecordDecision::Cancelled && may_have_run {
             decision = RecordDecision::Finished(RecordedResult::Unknown);
         }
--- a/src/filter/attempt_filter.rs
+++ b/src/filter/attempt_filter.rs
@@ -74,12 +74,13 @@
         Chain: FnOnce(State) -> Pin<Box<HandlerFuture>> + Send + 'static,
     {
         let now = self.daemon.clock.now();
-        let deadline = state.borrow::<ContextState>().0.deadline;
+        let context = &state.borrow::<ContextState>().0;
+        let (entered, deadline) = (context.entered, context.deadline);
         let remaining_time = deadline.saturating_duration_since(now);
         let attempts = &self.daemon.attempt_runs;
         if state.borrow::<AtMostOnceHeaders>().is_resume {
             let expiry = deadline.max(now) + CANCELLATION_RETENTION;
-            let action = match attempts.resume(attempt, expiry) {
+            let action = match attempts.resume(attempt, entered, expiry) {
                 // The attempt could not be marked as cancelled, so it may still arrive and run.
                 RunAction::Decided(RecordDecision::Full) => {
                     RunAction::Decided(RecordDecision::Finished(RecordedResult::Unknown))
--- a/tests/peer_outcomes.rs
+++ b/tests/peer_outcomes.rs
@@ -403,3 +403,33 @@
     let response = call(daemon.settings.peer, "/plain", &context, "").await;
     assert_eq!(response.summary(), "200 ran run 0");
 }
+
+/// Guards against an attempt that is reported as not run, and made again elsewhere, by a daemon that was
+/// restarted after it had run the attempt: the new process has no record of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn resume_of_an_attempt_older_than_the_process_is_unknown() {
+    let backend = RawServer::with_numbered_responses().await;
+    let platform = TestPlatform::start(PROFILE).await;
+    let settings = TestDaemon::settings("b-1", platform.address, backend.address).await;
+    let daemon = TestDaemon::start(&platform, settings).await;
+    let trace = "00-000000000000000000000000000000ab-00000000000000cd-01";
+    let mut summaries = Vec::new();
+    for (attempt, age_us) in [("00000000000000cd", "60000000"), ("00000000000000ce", "0")] {
+        let headers = [
+            ("skylark-cluster", "test"),
+            ("skylark-caller", "gate"),
+            ("skylark-attempt", attempt),
+            ("skylark-priority", "3.7.0"),
+            ("skylark-deadline-us", "1500000"),
+            ("skylark-age-us", age_us),
+            ("skylark-allowance", "0"),
+            ("skylark-depth", "1"),
+            ("traceparent", trace),
+            ("skylark-resume", "1"),
+        ];
+        let response = call(daemon.settings.peer, "/plain", &headers, "").await;
+        summaries.push(response.summary());
+    }
+    assert_eq!(summaries, ["502 unknown broken", "409 not-run cancelled"]);
+    assert_eq!(backend.runs(), 0);
+}
