Bound the times that the store and backend servers state

What callers saw: after one entry with a huge cold-remaining-s no daemon followed the store any more, so that requests reached an instance long after it had reported that it leaves; a Keep-Alive of 2^63 - 1 s made each later request end in 504.

Cause: sums of such a time with the clock overflow, and the panic ends the task that reads the store, or each request.

Evidence: huge_times_can_be_added_to_the_clock and huge_keep_alive_time_does_not_stop_requests failed before and pass.

--- a/src/mesh/backend_pool.rs
+++ b/src/mesh/backend_pool.rs
@@ -9,6 +9,10 @@
 /// Keep-alive time that is assumed for a server that states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// Longest keep-alive time that is taken over from a server. Sums of longer ones with the clock can
+/// overflow.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(60 * 60);
+
 /// Time before the end of the keep-alive time in which a connection is not used any more.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -72,6 +76,7 @@
     pub fn put(&self, connection: ClientConnection, head: &ResponseHead, now: Instant) {
         let stated = head.headers.text("Keep-Alive").and_then(keep_alive_seconds);
         let keep_alive = stated.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs);
+        let keep_alive = keep_alive.min(MAX_KEEP_ALIVE);
         self.put_for(connection, keep_alive, now);
     }
 
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,6 +4,7 @@
 
 pub mod config_document;
 pub mod context_names;
+mod document_time;
 pub mod entry_document;
 pub mod store_format;
 pub mod tenant_document;
--- a/src/platform/config_document.rs
+++ b/src/platform/config_document.rs
@@ -8,7 +8,10 @@
         },
         organisation::organisation_table::OrganisationError,
     },
-    platform::tenant_document::{self, TenantDocument},
+    platform::{
+        document_time,
+        tenant_document::{self, TenantDocument},
+    },
 };
 use indexmap::IndexSet;
 
@@ -152,7 +155,7 @@
 }
 
 fn duration_from_secs(value: f64, name: &SmolStr) -> Result<Duration, ConfigDocumentError> {
-    Duration::try_from_secs_f64(value).map_err(|_| ConfigDocumentError::Time(name.clone()))
+    document_time::decode_seconds(value).ok_or_else(|| ConfigDocumentError::Time(name.clone()))
 }
 
 impl RouteDocument {
--- a/src/platform/entry_document.rs
+++ b/src/platform/entry_document.rs
@@ -3,6 +3,7 @@
 use crate::{
     common::*,
     decision::mesh::fleet_view::{BackendEntry, ServingState},
+    platform::document_time,
 };
 
 /// The entry of a backend server could not be decoded.
@@ -43,8 +44,8 @@
         "draining" => ServingState::Draining,
         _ => return Err(EntryDocumentError::State(document.state)),
     };
-    let remaining_warm_up = Duration::try_from_secs_f64(document.cold_remaining_s)
-        .map_err(|_| EntryDocumentError::WarmUp)?;
+    let remaining_warm_up = document_time::decode_seconds(document.cold_remaining_s)
+        .ok_or(EntryDocumentError::WarmUp)?;
     Ok(BackendEntry {
         service: document.service,
         address: document.address,
--- a/tests/mesh/decoders.rs
+++ b/tests/mesh/decoders.rs
@@ -7,7 +7,7 @@
     mesh::{mesh_settings::MeshSettings, peer_frame::PeerFrame, store_interface::StoreFormat},
     platform::store_format::PlatformStore,
 };
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CONFIG: &str = r#"{"version":"r7","routes":[
     {"name":"a","hostname":"h.example","prefix":"/a/","route-type":"download","timeout-s":1,
@@ -21,6 +21,46 @@
 const ENTRY: &str = r#"{"service":"x","address":"10.1.0.9:80","zone":"z","version":"v1",
     "slots":91,"state":"draining","cold-remaining-s":1.5,"sequence":4,"born":1700000000000}"#;
 
+/// Guards against a daemon that stops to follow the store, since a value has a time that the clock cannot
+/// hold: the sum panics.
+#[test]
+fn huge_times_can_be_added_to_the_clock() {
+    let huge = i64::MAX.to_string();
+    let entry = ENTRY.replace("1.5", &huge);
+    let entry = PlatformStore
+        .decode_entry(entry.as_bytes())
+        .expect("an entry");
+    let config = CONFIG
+        .replace("\"timeout-s\":1,", &format!("\"timeout-s\":{huge},"))
+        .replace(
+            "\"target-latency-s\":1.5",
+            &format!("\"target-latency-s\":{huge}"),
+        )
+        .replace(
+            "\"header-timeout-s\":3",
+            &format!("\"header-timeout-s\":{huge}"),
+        )
+        .replace(
+            "\"idle-timeout-s\":15",
+            &format!("\"idle-timeout-s\":{huge}"),
+        );
+    let table = PlatformStore
+        .decode_config(config.as_bytes())
+        .expect("a table");
+    let route = table.find("h.example", "/a/1").expect("a route");
+    let limits = table.limits();
+    let now = Instant::now();
+    for time in [
+        entry.remaining_warm_up,
+        route.timeout,
+        route.latency_target,
+        limits.header_timeout,
+        limits.idle_timeout,
+    ] {
+        assert!(now.checked_add(time * 2).is_some(), "{time:?}");
+    }
+}
+
 /// Guards against routes, limits and retry rules that are decoded wrongly.
 #[test]
 fn config_is_decoded() {
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -326,6 +326,27 @@
     assert_eq!(scenario.backend.run_count(), 2);
 }
 
+/// Guards against a daemon that panics at each request, since the backend server states a keep-alive time
+/// that the clock cannot hold.
+#[tokio::test]
+async fn huge_keep_alive_time_does_not_stop_requests() {
+    let scenario = Scenario::start().await;
+    let lines = format!("Keep-Alive: timeout={}\r\n", i64::MAX);
+    scenario.backend.set_header_lines(&lines);
+    for number in 1..=2 {
+        let call = scenario.link.call(scenario.call(number));
+        let result = timeout(TEST_TIMEOUT, call.result()).await;
+        let Ok(CallResult::Reply(reply)) = result else {
+            panic!("call {number}: {result:?}");
+        };
+        assert!(
+            matches!(reply.result, RunResult::Response(_)),
+            "{:?}",
+            reply.result
+        );
+    }
+}
+
 /// Guards against refusals of requests of a short or new route although slots are free, because the
 /// admission gate expects the mean service time of a slow route.
 #[tokio::test]
