Keep a stopping daemon up until its responses are written

What callers saw: SIGTERM cut off responses that they read slowly.

Cause: a request counted as open until its response was ready, not until it was written, so that the daemon exited while it was writing.

Evidence: stopping_daemon_completes_a_response_that_is_read_slowly failed before and passes.

--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -70,7 +70,16 @@
     Closed,
 }
 
-type ResponseFuture = BoxFuture<'static, (CallerResponse, bool)>;
+/// Response that is ready to be written.
+struct ReadyResponse {
+    response: CallerResponse,
+    /// Whether the caller asked to close the connection after the response.
+    closes_connection: bool,
+    /// Keeps the request open until the response is written, unless it was rejected unread.
+    _open: Option<OpenRequest>,
+}
+
+type ResponseFuture = BoxFuture<'static, ReadyResponse>;
 
 /// Connection of one caller. Pipelined requests run concurrently; their responses are written in
 /// request order.
@@ -126,10 +135,8 @@
             let deadline = self.read_deadline();
             let is_reading = self.responses.len() < MAX_PIPELINED;
             tokio::select! {
-                Some((response, closes_connection)) = self.responses.next(),
-                    if !self.responses.is_empty() =>
-                {
-                    if self.write(writer, &response, closes_connection).await? {
+                Some(ready) = self.responses.next(), if !self.responses.is_empty() => {
+                    if self.write(writer, &ready.response, ready.closes_connection).await? {
                         return Ok(true);
                     }
                 }
@@ -254,9 +261,11 @@
         }
         let open: OpenRequest = proxy.state().open_request();
         self.responses.push_back(Box::pin(async move {
-            let response = proxy.serve(request).await;
-            drop(open);
-            (response, closes_connection)
+            ReadyResponse {
+                response: proxy.serve(request).await,
+                closes_connection,
+                _open: Some(open),
+            }
         }));
     }
 
@@ -271,8 +280,13 @@
         };
         let response = self.proxy.local_response(reason, &[], Duration::ZERO);
         self.read_progress = ReadProgress::Closed;
+        let ready = ReadyResponse {
+            response,
+            closes_connection: true,
+            _open: None,
+        };
         self.responses
-            .push_back(Box::pin(async move { (response, true) }));
+            .push_back(Box::pin(std::future::ready(ready)));
     }
 
     fn is_continue_due(&self) -> bool {
--- a/tests/mesh/end_to_end.rs
+++ b/tests/mesh/end_to_end.rs
@@ -14,6 +14,7 @@
     net::TcpStream,
     sync::watch,
     task::JoinHandle,
+    time::timeout,
 };
 
 const CONFIG: &str = r#"{"version":"r1","routes":[
@@ -22,6 +23,9 @@
     {"name":"once","hostname":"h","prefix":"/once/","route-type":"unsafe","timeout-s":20,
      "target-latency-s":10,"priority":0,"service":"s","max-attempts":2}],"services":[]}"#;
 
+/// Time between the stop signal and the end of a daemon, in seconds.
+const GRACE_S: f64 = 6.0;
+
 /// Two daemons, each with a backend server of the same service.
 pub struct Fleet {
     pub backends: Vec<Arc<BackendStandIn>>,
@@ -36,12 +40,12 @@
 
 impl Fleet {
     pub async fn start() -> Self {
-        Self::start_with(true, false).await
+        Self::start_with(true, false, GRACE_S).await
     }
 
     /// Starts a fleet. If `is_store_refusing` is true, the store refuses all calls of the first
     /// daemon.
-    async fn start_with(has_config: bool, is_store_refusing: bool) -> Self {
+    async fn start_with(has_config: bool, is_store_refusing: bool, grace_s: f64) -> Self {
         let [peer, outbound, readiness, backend, store] = [(); 5].map(|()| free_port());
         let store_address = loopback(1, store);
         let store = StoreStandIn::start(store_address).await;
@@ -72,7 +76,7 @@
             let text = format!(
                 "instance = \"d-{number}\"\ndata_centre = \"a\"\nservice = \"s\"\n\
                  backend = \"{}\"\noutbound = \"{}\"\npeer = \"{}\"\nreadiness = \"{}\"\n\
-                 store = \"{store_address}\"\ngrace_s = 6.0\n\
+                 store = \"{store_address}\"\ngrace_s = {grace_s:?}\n\
                  budget = {{ ratio = 0.2, slack = 5000.0, window_s = 10.0 }}\n",
                 loopback(number, backend),
                 loopback(number, outbound),
@@ -205,7 +209,7 @@
 /// configuration.
 #[tokio::test]
 async fn daemon_without_config_refuses_and_is_not_ready() {
-    let fleet = Fleet::start_with(false, false).await;
+    let fleet = Fleet::start_with(false, false, GRACE_S).await;
     let mut response = String::new();
     while response.is_empty() {
         response = fleet.get("/safe/x", "a").await;
@@ -282,6 +286,37 @@
     }
 }
 
+/// Guards against a response that is cut off by the stop of the daemon, since its caller reads it
+/// slowly.
+#[tokio::test]
+async fn stopping_daemon_completes_a_response_that_is_read_slowly() {
+    const BODY_BYTES: usize = 24 << 20;
+    /// Time after which an idle daemon has stopped.
+    const STOP_TIME: Duration = Duration::from_millis(3_500);
+    let mut fleet = Fleet::start_with(true, false, 120.0).await;
+    let body = "x".repeat(BODY_BYTES);
+    for backend in &fleet.backends {
+        *backend.body.lock() = Some(body.clone());
+    }
+    let mut stream = TcpStream::connect(fleet.outbound[0])
+        .await
+        .expect("a connection");
+    let text = request("/safe/x", "a");
+    stream.write_all(text.as_bytes()).await.expect("a write");
+    let mut first = [0; 1_024];
+    let mut received = stream.read(&mut first).await.expect("a response");
+    fleet.stops[0].send_replace(true);
+    tokio::time::sleep(STOP_TIME).await;
+    assert!(!fleet.daemons[0].is_finished(), "the daemon has stopped");
+    let mut rest = vec![0; 1 << 20];
+    while let Ok(count @ 1..) = stream.read(&mut rest).await {
+        received += count;
+    }
+    assert!(received > BODY_BYTES, "{received} bytes");
+    let daemon = fleet.daemons.remove(0);
+    daemon.await.expect("the daemon stops");
+}
+
 /// Guards against runs that continue after their client has disconnected.
 #[tokio::test]
 async fn run_is_cancelled_when_its_client_disconnects() {
@@ -365,7 +400,7 @@
 /// Guards against a daemon that serves no requests because the store refuses only its calls.
 #[tokio::test]
 async fn daemon_refused_by_the_store_gets_its_state_from_peers() {
-    let fleet = Fleet::start_with(true, true).await;
+    let fleet = Fleet::start_with(true, true, GRACE_S).await;
     let response = fleet.get("/safe/x", "a1").await;
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -70,6 +70,8 @@
     pub behaviour: Mutex<Behaviour>,
     /// Header lines that all responses have in addition.
     pub header_lines: Mutex<String>,
+    /// Body of all successful responses, if it is not the default.
+    pub body: Mutex<Option<String>>,
     /// Heads of the requests that were run.
     pub runs: Mutex<Vec<String>>,
     /// How refusals of requests are sent.
@@ -94,6 +96,7 @@
             id: Mutex::new(id.to_owned()),
             behaviour: Mutex::new(Behaviour::Respond),
             header_lines: Mutex::default(),
+            body: Mutex::default(),
             refusals: Mutex::new(RefusalStyle::Once),
             runs: Mutex::default(),
             cancelled: Mutex::default(),
@@ -199,7 +202,8 @@
             } else {
                 "200 OK"
             };
-            let body = format!("{id} ran {attempt}");
+            let body = self.body.lock().clone();
+            let body = body.unwrap_or_else(|| format!("{id} ran {attempt}"));
             let response = format!(
                 "HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nServer-Signature: s\r\n{lines}\
                  Content-Length: {}\r\n\r\n{body}",
