Start pipelined requests that wait in the buffer when there is room again

What callers saw: of 100 requests sent at once on a connection, about a third were never answered.

Cause: at most 64 requests of a connection run at once. Those beyond were parsed only after the next read, which does not come when all of them have arrived.

--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -139,6 +139,10 @@
                     if self.write(writer, &ready.response, ready.closes_connection).await? {
                         return Ok(true);
                     }
+                    // Requests for which there was no room are in the buffer.
+                    if !self.input.is_empty() {
+                        self.start_complete_requests(writer).await?;
+                    }
                 }
                 read = read_available(reader, &mut self.input), if is_reading => {
                     if read? == 0 {
--- a/tests/mesh/end_to_end.rs
+++ b/tests/mesh/end_to_end.rs
@@ -286,6 +286,29 @@
     }
 }
 
+/// Guards against pipelined requests that are never answered, since there are more of them than run at
+/// once: all were read before there was room for the last ones.
+#[tokio::test]
+async fn all_pipelined_requests_of_one_write_get_responses() {
+    const REQUESTS: usize = 200;
+    const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+    let fleet = Fleet::start().await;
+    let mut stream = TcpStream::connect(fleet.outbound[0])
+        .await
+        .expect("a connection");
+    let requests: String = (0..REQUESTS)
+        .map(|number| request("/safe/x", &format!("a{number}")))
+        .collect();
+    stream
+        .write_all(requests.as_bytes())
+        .await
+        .expect("a write");
+    for number in 0..REQUESTS {
+        let response = timeout(TEST_TIMEOUT, read_message(&mut stream)).await;
+        assert!(matches!(response, Ok(Some(_))), "request {number}");
+    }
+}
+
 /// Guards against a response that is cut off by the stop of the daemon, since its caller reads it
 /// slowly.
 #[tokio::test]
