--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -3,7 +3,7 @@
 use crate::stand_ins::{BackendStandIn, Behaviour, RefusalStyle, free_port, loopback};
 use bytes::{Bytes, BytesMut};
 use skylarkstream::{
-    decision::clock::SystemClock,
+    decision::clock::{Clock, ManualClock, SystemClock},
     mesh::{
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
@@ -79,9 +79,11 @@
     }
 }
 
-/// Proxy that can reset its connections or stop forwarding on them. New connections always work.
+/// Proxy that can reset its connections or stop forwarding on them, and hold new ones back.
 struct LinkProxy {
     address: SocketAddr,
+    /// Whether new connections are held back.
+    is_holding: watch::Sender<bool>,
     /// Counts the interruptions.
     interruptions: watch::Sender<u32>,
     /// Whether the next interruption keeps the connections open.
@@ -95,13 +97,17 @@
             .expect("a free port");
         let address = listener.local_addr().expect("an address");
         let interruptions = watch::Sender::new(0);
+        let is_holding = watch::Sender::new(false);
+        let holding = is_holding.clone();
         let is_silenced = Arc::new(AtomicBool::new(false));
         let (signal, silent) = (interruptions.clone(), Arc::clone(&is_silenced));
         tokio::spawn(async move {
             while let Ok((mut client, _)) = listener.accept().await {
                 let mut signal = signal.subscribe();
                 let silent = Arc::clone(&silent);
+                let mut holding = holding.subscribe();
                 tokio::spawn(async move {
+                    let _ = holding.wait_for(|is_holding| !is_holding).await;
                     let Ok(mut server) = TcpStream::connect(target).await else {
                         return;
                     };
@@ -118,6 +124,7 @@
         });
         Self {
             address,
+            is_holding,
             interruptions,
             is_silenced,
         }
@@ -137,10 +144,16 @@
     observer: Arc<FrameObserver>,
     state: Arc<FleetState>,
     links: Arc<PeerLinks>,
+    listener: Arc<PeerListener>,
 }
 
 impl Scenario {
     async fn start() -> Self {
+        Self::start_with(Arc::new(SystemClock)).await
+    }
+
+    /// Starts a scenario with the clock of the daemon that runs the requests.
+    async fn start_with(clock: Arc<dyn Clock>) -> Self {
         let (port, backend_port) = (free_port(), free_port());
         let (peer, backend) = (loopback(1, port), loopback(1, backend_port));
         let text = format!(
@@ -153,11 +166,12 @@
             settings,
             context_headers(),
             Arc::new(PlatformStore),
-            Arc::new(SystemClock),
+            clock,
         ));
-        let listener = TcpListener::bind(peer).await.expect("the address");
+        let socket = TcpListener::bind(peer).await.expect("the address");
         let links = PeerLinks::new(Arc::clone(&state));
-        tokio::spawn(PeerListener::new(Arc::clone(&state), Arc::clone(&links)).serve(listener));
+        let listener = PeerListener::new(Arc::clone(&state), Arc::clone(&links));
+        tokio::spawn(Arc::clone(&listener).serve(socket));
         let proxy = LinkProxy::start(peer).await;
         let observer = Arc::new(FrameObserver::default());
         let link_observer: Arc<dyn LinkObserver> = Arc::clone(&observer) as _;
@@ -169,9 +183,21 @@
             observer,
             state,
             links,
+            listener,
         }
     }
 
+    /// Returns whether the daemon that makes calls is connected.
+    fn is_connected(&self) -> bool {
+        let connected = AtomicBool::new(false);
+        let is_receiver = |_| {
+            connected.store(true, Ordering::Relaxed);
+            false
+        };
+        self.links.senders.send_where(is_receiver, &PeerFrame::Ping);
+        connected.into_inner()
+    }
+
     fn call(&self, number: u64) -> CallFrame {
         CallFrame {
             caller: Default::default(),
@@ -263,6 +289,42 @@
     Scenario::start().await.check_interruption(false).await;
 }
 
+/// Guards against an at-most-once request that is broken off and runs again elsewhere, because the two
+/// daemons were out of touch for longer than runs wait for their sender.
+#[tokio::test]
+async fn at_most_once_run_outlives_a_long_loss_of_its_sender() {
+    const LOSS: Duration = Duration::from_secs(3);
+    let clock = Arc::new(ManualClock::new());
+    let scenario = Scenario::start_with(Arc::clone(&clock) as _).await;
+    scenario.backend.set(Behaviour::Hold);
+    let call = scenario.link.call(scenario.call(1));
+    while scenario.backend.run_count() == 0 {
+        tokio::task::yield_now().await;
+    }
+    scenario.proxy.is_holding.send_replace(true);
+    scenario.proxy.interrupt_connections(false);
+    while scenario.is_connected() {
+        tokio::task::yield_now().await;
+    }
+    clock.advance(LOSS);
+    scenario.listener.expire();
+    scenario.proxy.is_holding.send_replace(false);
+    while !scenario.is_connected() {
+        tokio::task::yield_now().await;
+    }
+    scenario.backend.release.notify_one();
+    let result = timeout(TEST_TIMEOUT, call.result()).await;
+    let Ok(CallResult::Reply(reply)) = result else {
+        panic!("{result:?}");
+    };
+    assert!(
+        matches!(reply.result, RunResult::Response(_)),
+        "{:?}",
+        reply.result
+    );
+    assert_eq!(scenario.backend.run_count(), 1);
+}
+
 /// Guards against a request that never completes because the connection stopped delivering data
 /// without being reset.
 #[tokio::test]
