Let daemons of the soak lose each other for longer than runs wait for their sender

The soak's links were lost for 2.5 s at most beside backend servers that work for 0.6 s at most, so that no run was stopped while its sender still waited.

--- a/tests/soak/backend.rs
+++ b/tests/soak/backend.rs
@@ -38,6 +38,8 @@
     ServerError,
     /// Processes the request slowly.
     Slow,
+    /// Processes the request for most of the time that its caller waits.
+    Long,
     /// Responds with the `Attempt-Id` of another request.
     WrongAttemptId,
     /// Closes the connection in the middle of the response body.
@@ -290,6 +292,7 @@
     async fn process(&self, head: &str, mode: BackendMode, is_retry: bool, fleet: &Fleet) -> bool {
         let work_ms = match mode {
             BackendMode::Slow => 600,
+            BackendMode::Long => 2_400,
             _ => 10 + (head.len() as u64 * 7) % 60,
         };
         tokio::time::sleep(Duration::from_millis(work_ms)).await;
--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -13,6 +13,10 @@
 /// limits and that they leave, a request crashes them, and only daemons have faults.
 const ANNOUNCEMENT_SEED: u64 = 1;
 
+/// First of the seeds of rounds in which daemons lose each other for longer than runs wait for their
+/// sender, while backend servers take long.
+const LONG_LOSS_SEED: u64 = 1_001;
+
 /// Longest time from a configuration change to the silence of the connections that follows it.
 const BEFORE_SILENCE: Duration = Duration::from_millis(100);
 
@@ -84,6 +88,9 @@
     groups: usize,
 ) -> Vec<TimedFault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    if seed >= LONG_LOSS_SEED {
+        return long_losses(&mut rng, round_duration, machines);
+    }
     if seed % SILENCE_SEED_STEP == SILENCE_SEED_STEP - 1 {
         return silent_connections(&mut rng, round_duration);
     }
@@ -112,7 +119,7 @@
 
 /// Returns whether backend servers announce limits and that they leave in the round of a seed.
 pub fn has_announcements(seed: u64) -> bool {
-    seed % SILENCE_SEED_STEP == ANNOUNCEMENT_SEED
+    seed < LONG_LOSS_SEED && seed % SILENCE_SEED_STEP == ANNOUNCEMENT_SEED
 }
 
 /// Generates rounds with announcements of backend servers, a culprit and restarts of daemons.
@@ -148,6 +155,30 @@
     faults
 }
 
+/// Generates rounds in which all backend servers take long, and the links to one daemon after the other
+/// are lost.
+fn long_losses(rng: &mut Pcg64Mcg, round_duration: Duration, machines: usize) -> Vec<TimedFault> {
+    let mode = BackendMode::Long;
+    let slow = (0..machines).map(|machine| TimedFault {
+        at: Duration::ZERO,
+        duration: round_duration,
+        fault: Fault::Backend { machine, mode },
+    });
+    let mut faults: Vec<_> = slow.collect();
+    let mut at = Duration::from_millis(500);
+    while at < round_duration {
+        let machine = rng.random_range(0..machines);
+        let mode = LinkMode::Hold;
+        faults.push(TimedFault {
+            at,
+            duration: Duration::from_millis(rng.random_range(1_900..2_500)),
+            fault: Fault::IncomingLinks { machine, mode },
+        });
+        at += Duration::from_millis(rng.random_range(300..1_200));
+    }
+    faults
+}
+
 /// Generates rounds whose connections go silent, with configuration changes shortly before and after.
 fn silent_connections(rng: &mut Pcg64Mcg, round_duration: Duration) -> Vec<TimedFault> {
     let mut faults = Vec::new();
--- a/tests/soak/link_proxy.rs
+++ b/tests/soak/link_proxy.rs
@@ -28,6 +28,8 @@
     StallFromTarget,
     /// Closes all connections.
     Reset,
+    /// Closes all connections, and holds back new ones.
+    Hold,
 }
 
 /// TCP proxy between a group of daemons and one daemon of another group.
@@ -83,7 +85,12 @@
     if *modes.borrow() == LinkMode::Reset {
         return;
     }
-    let is_stalled = |mode: &LinkMode| matches!(mode, LinkMode::Stall | LinkMode::StallToTarget);
+    let is_stalled = |mode: &LinkMode| {
+        matches!(
+            mode,
+            LinkMode::Stall | LinkMode::StallToTarget | LinkMode::Hold
+        )
+    };
     if modes.wait_for(|mode| !is_stalled(mode)).await.is_err() {
         return;
     }
@@ -108,7 +115,7 @@
     );
     let is_silent = tokio::select! {
         () = async { tokio::join!(to_target, from_target); } => false,
-        _ = modes.wait_for(|mode| *mode == LinkMode::Reset) => false,
+        _ = modes.wait_for(|mode| matches!(mode, LinkMode::Reset | LinkMode::Hold)) => false,
         changed = silence.changed() => changed.is_ok(),
     };
     if is_silent {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -48,7 +48,7 @@
 const SHORT_ROUND_SEEDS: [u64; 3] = [1, 2, 3];
 
 /// Rounds that once had a violation, as seed and duration in seconds. They are always executed.
-const REGRESSION_ROUNDS: [(u64, u64); 4] = [
+const REGRESSION_ROUNDS: [(u64, u64); 5] = [
     // Responses were sent over an older peer connection, whose hello frame a stalled link had
     // delayed.
     (8, 12),
@@ -58,6 +58,8 @@
     // A restarted daemon sent requests to its backend server, which had announced that it leaves:
     // peers that had only heard so from the daemon forgot it at the new handshake.
     (13, 20),
+    // Runs were stopped, and reported as not begun, since their senders were out of touch for 2 s.
+    (1_001, 12),
 ];
 
 /// Fault injection into one fleet.
