--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -11,7 +11,7 @@
             CallFrame, HelloFrame, LoadFrame, NESTED_CLASS, NotRunReason, PeerFrame, RunResult,
             StoreUpdateFrame,
         },
-        peer_link::{CallResult, LinkObserver, PeerLink},
+        peer_link::{CallResult, LinkCall, LinkObserver, PeerLink},
         peer_links::PeerLinks,
         peer_listener::PeerListener,
         store_interface::StoreItem,
@@ -220,6 +220,12 @@
         }
     }
 
+    /// Makes a call and checks that the backend server responds to it.
+    async fn expect_response(&self, frame: CallFrame) {
+        let result = response_of(self.link.call(frame)).await;
+        assert!(matches!(result, RunResult::Response(_)), "{result:?}");
+    }
+
     /// Interrupts the connection during a run, lets the run complete, and checks that its response
     /// is received and that it ran once.
     async fn check_interruption(&self, is_silent: bool) {
@@ -241,6 +247,14 @@
     }
 }
 
+/// Returns the result that the peer sends for a call.
+async fn response_of(call: LinkCall) -> RunResult {
+    match timeout(TEST_TIMEOUT, call.result()).await {
+        Ok(CallResult::Reply(reply)) => reply.result.clone(),
+        result => panic!("no result was received: {result:?}"),
+    }
+}
+
 /// Guards against a daemon that is no longer published, since it cannot reach the store, and gets no
 /// load: it planned alone and admitted all requests of its callers during an overload.
 #[tokio::test]
@@ -313,15 +327,8 @@
         tokio::task::yield_now().await;
     }
     scenario.backend.release.notify_one();
-    let result = timeout(TEST_TIMEOUT, call.result()).await;
-    let Ok(CallResult::Reply(reply)) = result else {
-        panic!("{result:?}");
-    };
-    assert!(
-        matches!(reply.result, RunResult::Response(_)),
-        "{:?}",
-        reply.result
-    );
+    let result = response_of(call).await;
+    assert!(matches!(result, RunResult::Response(_)), "{result:?}");
     assert_eq!(scenario.backend.run_count(), 1);
 }
 
@@ -396,16 +403,7 @@
     let lines = format!("Keep-Alive: timeout={}\r\n", i64::MAX);
     scenario.backend.set_header_lines(&lines);
     for number in 1..=2 {
-        let call = scenario.link.call(scenario.call(number));
-        let result = timeout(TEST_TIMEOUT, call.result()).await;
-        let Ok(CallResult::Reply(reply)) = result else {
-            panic!("call {number}: {result:?}");
-        };
-        assert!(
-            matches!(reply.result, RunResult::Response(_)),
-            "{:?}",
-            reply.result
-        );
+        scenario.expect_response(scenario.call(number)).await;
     }
 }
 
@@ -429,14 +427,7 @@
         max_wait_ms: 10,
         ..scenario.call(2)
     };
-    let CallResult::Reply(reply) = scenario.link.call(root).result().await else {
-        panic!("the result was lost");
-    };
-    assert!(
-        matches!(reply.result, RunResult::Response(_)),
-        "{:?}",
-        reply.result
-    );
+    scenario.expect_response(root).await;
 }
 
 /// Guards against results that are sent to an earlier connection of a daemon, because the handshake
@@ -569,15 +560,8 @@
     let scenario = Scenario::start().await;
     *scenario.backend.refusals.lock() = RefusalStyle::Twice;
     *scenario.backend.id.lock() = "i-2".to_owned();
-    let CallResult::Reply(reply) = scenario.link.call(scenario.call(1)).result().await else {
-        panic!("the result was lost");
-    };
+    scenario.expect_response(scenario.call(1)).await;
     assert_eq!(scenario.backend.run_count(), 1);
-    assert!(
-        matches!(reply.result, RunResult::Response(_)),
-        "{:?}",
-        reply.result
-    );
 }
 
 /// Guards against a run that is reported as not run, because a refusal without the id of an attempt
@@ -587,24 +571,14 @@
     let scenario = Scenario::start().await;
     *scenario.backend.refusals.lock() = RefusalStyle::TwiceWithoutId;
     scenario.backend.set(Behaviour::Refuse);
-    let CallResult::Reply(refused) = scenario.link.call(scenario.call(1)).result().await else {
-        panic!("the result was lost");
-    };
     assert_eq!(
-        refused.result,
+        response_of(scenario.link.call(scenario.call(1))).await,
         RunResult::NotRun(NotRunReason::Refused),
         "the first response on a connection belongs to its request"
     );
     scenario.backend.set(Behaviour::Respond);
-    let CallResult::Reply(reply) = scenario.link.call(scenario.call(2)).result().await else {
-        panic!("the result was lost");
-    };
+    scenario.expect_response(scenario.call(2)).await;
     assert_eq!(scenario.backend.run_count(), 1);
-    assert!(
-        matches!(reply.result, RunResult::Response(_)),
-        "{:?}",
-        reply.result
-    );
 }
 
 /// Guards against a result that says that a request may have run although it was never sent.
@@ -616,13 +590,6 @@
     let limit = Instant::now() - Duration::from_millis(10);
     let result = call.result_by(limit).await;
     assert!(matches!(result, Some(CallResult::NotSent(_))), "{result:?}");
-    let CallResult::Reply(reply) = scenario.link.call(scenario.call(2)).result().await else {
-        panic!("the result was lost");
-    };
-    assert!(
-        matches!(reply.result, RunResult::Response(_)),
-        "{:?}",
-        reply.result
-    );
+    scenario.expect_response(scenario.call(2)).await;
     assert_eq!(scenario.backend.run_count(), 1);
 }
