Split the start of a run and name what its parts report

No behaviour is changed: the time that a request has left, the name of a resumed run's state and the status for another instance get their own places.

--- a/src/decision/mesh/run_table.rs
+++ b/src/decision/mesh/run_table.rs
@@ -42,17 +42,6 @@
     Missing,
 }
 
-impl BlockCause {
-    /// Returns the name that is used in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Cancelled => "cancelled",
-            Self::Orphaned => "orphaned",
-            Self::Missing => "missing",
-        }
-    }
-}
-
 /// Whether a run starts when its message arrives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StartVerdict {
@@ -77,6 +66,20 @@
     Blocked(BlockCause),
 }
 
+impl<T> ResumedRun<T> {
+    /// Returns the name that is used in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Finished(_) => "finished",
+            Self::Unknown => "unknown",
+            Self::Blocked(BlockCause::Cancelled) => "cancelled",
+            Self::Blocked(BlockCause::Orphaned) => "orphaned",
+            Self::Blocked(BlockCause::Missing) => "missing",
+        }
+    }
+}
+
 #[derive(Debug)]
 enum RunState<T> {
     /// In progress. `has_begun` is whether the request may have been sent to the backend server.
@@ -177,23 +180,20 @@
 
     /// Stops a run and drops its result. If it has not begun, it will not.
     pub fn stop(&mut self, id: RunId, cause: BlockCause, now: Instant) {
-        if !self.runs.contains_key(&id) && self.forgotten.may_contain(id) {
-            return;
-        }
         let blocked = RunState::Blocked {
             cause,
             kept_until: now + BLOCK_LIFETIME,
         };
-        let state = self.runs.entry(id).or_insert(blocked);
+        let Some(state) = self.runs.get_mut(&id) else {
+            if !self.forgotten.may_contain(id) {
+                self.runs.insert(id, blocked);
+            }
+            return;
+        };
         match *state {
             RunState::Running {
                 has_begun: false, ..
-            } => {
-                *state = RunState::Blocked {
-                    cause,
-                    kept_until: now + BLOCK_LIFETIME,
-                };
-            }
+            } => *state = blocked,
             RunState::Running { terms, .. } => *state = ended(terms),
             RunState::Finished { bytes, terms, .. } => {
                 self.result_bytes -= bytes;
--- a/src/mesh/backend_exchange.rs
+++ b/src/mesh/backend_exchange.rs
@@ -26,6 +26,9 @@
 /// grows needs up to twice the size of its content.
 const RESPONSE_BUDGET_BYTES: u64 = 48 << 20;
 
+/// Status with which a backend server refuses a request for another instance.
+const OTHER_INSTANCE_STATUS: u16 = 421;
+
 /// Sends requests to the local backend server and judges its responses.
 pub struct BackendExchange {
     headers: ContextHeaders,
@@ -76,7 +79,7 @@
             .await?;
         // After this status the request may be sent again. A late copy of the response would have the
         // same attempt identifier.
-        if response.is_reusable && response.head.status != 421 {
+        if response.is_reusable && response.head.status != OTHER_INSTANCE_STATUS {
             self.pool.put(connection, &response.head, self.clock.now());
         }
         Ok(response)
@@ -119,7 +122,7 @@
         let headers = &head.headers;
         let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
         let is_unexecuted = headers.get(self.headers.not_executed).is_some();
-        if head.status == 421 || (is_unexecuted && !matches_attempt) {
+        if head.status == OTHER_INSTANCE_STATUS || (is_unexecuted && !matches_attempt) {
             log::info!(
                 attempt:% = call.attempt_id.escape_ascii(),
                 status = head.status,
@@ -128,7 +131,7 @@
                 "executor: The backend server says that it did not run a request."
             );
         }
-        if head.status == 421 {
+        if head.status == OTHER_INSTANCE_STATUS {
             // The backend server has restarted, and its new id is not published yet.
             if let Some(id) = headers.text(self.headers.instance) {
                 log::info!("executor: The backend server reports the new id {id}.");
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -394,9 +394,8 @@
         }
     }
 
-    /// Completes a call of which a peer of an earlier build does not know a run. It may have forgotten
-    /// it.
-    fn block_call(&self, number: u64) {
+    /// Completes a call whose run a peer of an earlier build does not know. It may have forgotten it.
+    fn complete_unknown_call(&self, number: u64) {
         let Some(call) = self.link.pending.lock().swap_remove(&number) else {
             return;
         };
@@ -448,7 +447,7 @@
             PeerFrame::Resumed {
                 number,
                 is_running: false,
-            } => self.block_call(number),
+            } => self.complete_unknown_call(number),
             _ => {}
         }
     }
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -113,18 +113,13 @@
 
     fn start_run(self: &Arc<Self>, id: RunId, mut call: Box<CallFrame>, transit_time: Duration) {
         let state = &self.state;
-        let remaining = Duration::from_millis(call.remaining_ms.into());
-        let remaining = if transit_time > MAX_TRANSIT_TIME {
-            Duration::ZERO
-        } else {
-            remaining.saturating_sub(transit_time)
-        };
-        let deadline = state.clock.now() + remaining;
+        let deadline = state.clock.now() + remaining_time(&call, transit_time);
         let terms = RunTerms {
             is_at_most_once: call.is_at_most_once,
             deadline,
         };
-        match self.runs.lock().start(id, terms) {
+        let verdict = self.runs.lock().start(id, terms);
+        match verdict {
             StartVerdict::Started => {}
             StartVerdict::Known => return,
             StartVerdict::Forgotten => {
@@ -176,15 +171,9 @@
         let now = self.state.clock.now();
         let resumed = self.runs.lock().resume(id, now);
         let number = id.number;
-        let state = match &resumed {
-            ResumedRun::Running => "running",
-            ResumedRun::Finished(_) => "finished",
-            ResumedRun::Unknown => "unknown",
-            ResumedRun::Blocked(cause) => cause.name(),
-        };
-        self.state.metrics.count_resumed_run(state);
+        self.state.metrics.count_resumed_run(resumed.name());
         log::info!(
-            run = number, sender = id.sender, state = state;
+            run = number, sender = id.sender, state = resumed.name();
             "peer: A sender asked for a run on a new connection."
         );
         let result = match resumed {
@@ -203,6 +192,14 @@
     }
 }
 
+/// Returns the time that a request has left after its transit.
+fn remaining_time(call: &CallFrame, transit_time: Duration) -> Duration {
+    if transit_time > MAX_TRANSIT_TIME {
+        return Duration::ZERO;
+    }
+    Duration::from_millis(call.remaining_ms.into()).saturating_sub(transit_time)
+}
+
 /// Connection from one peer.
 struct PeerConnection {
     listener: Arc<PeerListener>,
