--- a/src/decision/organisation/allotment_account.rs
+++ b/src/decision/organisation/allotment_account.rs
@@ -10,10 +10,6 @@
 /// Time in which a surplus or a debt of tokens is used up, in seconds.
 const SETTLE_S: f64 = 1.0;
 
-/// Time before the first update for which requests count as granted at the full rate after a restart,
-/// in seconds.
-const UNKNOWN_S: f64 = 0.25;
-
 /// Share of the overshoot by which more than the allotment is granted, so that variations of the measured
 /// demand refuse no request below it.
 const OVERSHOOT_SHARE: f64 = 0.25;
@@ -34,15 +30,10 @@
 }
 
 impl AllotmentAccount {
-    /// Creates an account. `has_burst` is false if earlier processes may have granted the burst and
-    /// requests that the daemons do not know of.
+    /// Creates an account. `has_burst` is false if an earlier process may have granted the burst.
     pub fn new(allotment: RequestAllotment, has_burst: bool, now: Instant) -> Self {
         Self {
-            tokens: if has_burst {
-                allotment.burst
-            } else {
-                -UNKNOWN_S * allotment.rate
-            },
+            tokens: if has_burst { allotment.burst } else { 0.0 },
             granted_share: 1.0,
             updated_at: now,
         }
--- a/src/decision/organisation/allotment_ledger.rs
+++ b/src/decision/organisation/allotment_ledger.rs
@@ -25,11 +25,11 @@
 /// its part is not granted here before the cut has probably ended.
 const PEER_LIFETIME: Duration = Duration::from_secs(15);
 
-/// Load intervals without a report after which the demand of a peer counts with `STALE_FACTOR`.
-const STALE_INTERVALS: u32 = 3;
+/// Age from which the demand of a peer counts with `STALE_FACTOR`.
+const STALE_AGE: Duration = Duration::from_secs(3);
 
 /// Factor on the demand of a peer that has been silent for some time. Its last report may have been below
-/// its average, and stays in the sum until the peer can be reached.
+/// its average, and stays in the sum until it can be reached.
 const STALE_FACTOR: f64 = 1.25;
 
 /// Time after the start of a daemon from which its demand counts. When all daemons restart together, each
@@ -47,8 +47,8 @@
 }
 
 impl PeerDemand {
-    fn is_stale(&self, load_interval: Duration, now: Instant) -> bool {
-        self.received_at + load_interval * STALE_INTERVALS < now
+    fn is_stale(&self, now: Instant) -> bool {
+        self.received_at + STALE_AGE < now
     }
 }
 
@@ -110,13 +110,11 @@
         self.peers.insert(ip, peer);
     }
 
-    /// Updates the accounts in a fleet of `daemons` that send each other their load at `load_interval`,
-    /// and returns the local demand for the peers.
+    /// Updates the accounts in a fleet of `daemons`, and returns the local demand for the peers.
     pub fn update(
         &mut self,
         organisations: &OrganisationTable,
         daemons: usize,
-        load_interval: Duration,
         now: Instant,
     ) -> DemandReport {
         self.peers
@@ -127,9 +125,8 @@
             .retain(|_, demand| demand.requests.get(now) >= MIN_SENT_DEMAND);
         let has_burst = self.is_informed(now);
         // The bound also holds for daemons out of touch, whose present demand is not known.
-        let mut peers = self.peers.values();
-        let is_exact = peers.any(|peer| peer.is_stale(load_interval, now));
-        for (name, demand) in self.fleet_demand(daemons, load_interval, now) {
+        let is_exact = self.peers.values().any(|peer| peer.is_stale(now));
+        for (name, demand) in self.fleet_demand(daemons, now) {
             let organisation = organisations.by_name(&name);
             let Some(allotment) = organisation.and_then(|organisation| organisation.allotment)
             else {
@@ -202,12 +199,7 @@
 
     /// Returns the demand of each organisation in the fleet, in requests per second. Daemons that do not
     /// know their demand yet, or have not told it, are assumed to have the same as this one.
-    fn fleet_demand(
-        &self,
-        daemons: usize,
-        load_interval: Duration,
-        now: Instant,
-    ) -> IndexMap<SmolStr, FleetDemand> {
+    fn fleet_demand(&self, daemons: usize, now: Instant) -> IndexMap<SmolStr, FleetDemand> {
         let settled = self.peers.values().filter(|peer| peer.report.is_settled);
         let unheard = daemons.saturating_sub(1 + settled.clone().count());
         // Organisations without demand stay in the sum, so that their accounts fill up.
@@ -220,21 +212,15 @@
             sum.granted += demand.granted.get(now) * (1 + unheard) as f64;
         }
         for peer in settled {
-            let is_stale = peer.is_stale(load_interval, now);
+            let factor = if peer.is_stale(now) {
+                STALE_FACTOR
+            } else {
+                1.0
+            };
             for demand in &peer.report.demands {
-                let rate = f64::from(demand.rate);
                 let sum = sums.entry(demand.organisation.clone()).or_default();
-                if is_stale {
-                    // Both sides of a cut compute about the same share. What the peer granted last may
-                    // have been little, and would be made up for here as long as the cut lasts.
-                    let account = self.accounts.get(&demand.organisation);
-                    let share = account.map_or(1.0, AllotmentAccount::granted_share);
-                    sum.requests += STALE_FACTOR * rate;
-                    sum.granted += STALE_FACTOR * rate * share;
-                } else {
-                    sum.requests += rate;
-                    sum.granted += f64::from(demand.granted_rate);
-                }
+                sum.requests += factor * f64::from(demand.rate);
+                sum.granted += factor * f64::from(demand.granted_rate);
             }
         }
         sums
--- a/src/emulator/allotment_fleet.rs
+++ b/src/emulator/allotment_fleet.rs
@@ -65,8 +65,6 @@
     pub refused: u64,
     /// Most requests that were granted in any window of the bounds.
     pub most_in_window: usize,
-    pub per_second: Vec<u32>,
-    first: Option<Instant>,
     recent: VecDeque<Instant>,
     /// Time from which windows are counted.
     binds_from: Option<Instant>,
@@ -84,11 +82,6 @@
             return;
         }
         self.granted += 1;
-        let sec = (now - self.first.get_or_insert(now).to_owned()).as_secs() as usize;
-        if self.per_second.len() <= sec {
-            self.per_second.resize(sec + 1, 0);
-        }
-        self.per_second[sec] += 1;
         if self.binds_from.is_some_and(|at| now < at) {
             return;
         }
@@ -204,7 +197,7 @@
                 continue;
             }
             self.next_update[id] = now + interval.mul_f64(0.9 + 0.2 * self.rng.random::<f64>());
-            let report = self.ledgers[id].update(&self.table, daemons, interval, now);
+            let report = self.ledgers[id].update(&self.table, daemons, now);
             self.send(id, &report, now);
         }
     }
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -450,8 +450,8 @@
         let routes = self.routes();
         let organisations = routes.as_ref().and_then(|routes| routes.organisations());
         let demand = organisations.map(|organisations| {
-            let mut allotments = self.allotments.lock();
-            allotments.update(organisations, self.member_count(), interval, now)
+            let daemons = self.member_count();
+            self.allotments.lock().update(organisations, daemons, now)
         });
         let load = Arc::new(LoadFrame {
             demand,
