--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -176,7 +176,11 @@
     };
     let runtime = tokio::runtime::Runtime::new().expect("failed to create the runtime");
     let violations: Vec<Vec<String>> = runtime.block_on(async {
-        let rounds = futures_util::stream::iter(rounds).map(SoakRound::execute);
+        // In one task, the checks of a round that ends would delay the signals and polls of the others.
+        let rounds = futures_util::stream::iter(rounds).map(|round| async move {
+            let round = tokio::spawn(round.execute());
+            round.await.expect("a round without a panic")
+        });
         rounds.buffer_unordered(jobs).collect().await
     });
     let count: usize = violations.iter().map(Vec::len).sum();
