--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -523,34 +523,70 @@
     }
 }
 
-/// Guards against an at-most-once request that runs again elsewhere, because the process of the peer
-/// that got it ended before its handshake arrived, and the next process has never had it.
-#[tokio::test]
-async fn request_sent_to_an_earlier_process_may_have_run() {
-    let scenario = Scenario::start().await;
+/// Makes a call whose connection ends, and returns its result when the next connection reports that the
+/// peer does not know the run. Each connection gets the handshake with the given daemon id, if any.
+async fn result_after_a_report_of_no_run(
+    scenario: &Scenario,
+    call: CallFrame,
+    daemon_ids: [Option<u64>; 2],
+) -> CallResult {
     let listener = TcpListener::bind(loopback(1, 0))
         .await
         .expect("a free port");
     let address = listener.local_addr().expect("an address");
     let observer: Arc<dyn LinkObserver> = Arc::clone(&scenario.observer) as _;
-    let call = PeerLink::start(address, observer).call(scenario.call(1));
+    let number = call.number;
+    let call = PeerLink::start(address, observer).call(call);
+    let handshake = |daemon_id: Option<u64>| {
+        let mut bytes = BytesMut::new();
+        if let Some(daemon_id) = daemon_id {
+            let hello = FrameObserver::default().hello(address);
+            PeerFrame::Hello(HelloFrame { daemon_id, ..hello }).encode(&mut bytes);
+        }
+        bytes
+    };
     let (mut earlier, _) = listener.accept().await.expect("a connection");
+    let bytes = handshake(daemon_ids[0]);
+    earlier.write_all(&bytes).await.expect("a write");
     wait_for(&mut earlier, |frame| matches!(frame, PeerFrame::Call(_))).await;
     drop(earlier);
     let (mut current, _) = listener.accept().await.expect("a connection");
-    let mut bytes = BytesMut::new();
-    PeerFrame::Hello(FrameObserver::default().hello(address)).encode(&mut bytes);
+    let mut bytes = handshake(daemon_ids[1]);
     let resumed = PeerFrame::Resumed {
-        number: 1,
+        number,
         is_running: false,
     };
     resumed.encode(&mut bytes);
-    current
-        .write_all(&bytes)
+    current.write_all(&bytes).await.expect("a write");
+    timeout(TEST_TIMEOUT, call.result())
         .await
-        .expect("the messages are sent");
-    let result = timeout(TEST_TIMEOUT, call.result()).await;
-    assert!(matches!(result, Ok(CallResult::Lost)), "{result:?}");
+        .expect("a result in time")
+}
+
+/// Guards against an at-most-once request that runs again elsewhere, because the process of the peer
+/// that got it ended before its handshake arrived, and the next process has never had it.
+#[tokio::test]
+async fn request_sent_to_an_earlier_process_may_have_run() {
+    let scenario = Scenario::start().await;
+    let call = scenario.call(1);
+    let result = result_after_a_report_of_no_run(&scenario, call, [None, Some(5)]).await;
+    assert!(matches!(result, CallResult::Lost), "{result:?}");
+}
+
+/// Guards against an at-most-once request that runs again elsewhere, because a peer of an earlier build
+/// has forgotten that it ran.
+#[tokio::test]
+async fn earlier_build_that_does_not_know_a_run_may_have_run_it() {
+    let scenario = Scenario::start().await;
+    for is_at_most_once in [true, false] {
+        let call = CallFrame {
+            is_at_most_once,
+            ..scenario.call(1)
+        };
+        let result = result_after_a_report_of_no_run(&scenario, call, [Some(5); 2]).await;
+        let is_lost = matches!(result, CallResult::Lost);
+        assert_eq!(is_lost, is_at_most_once, "{result:?}");
+    }
 }
 
 /// Guards against a run that is reported as not run, because the backend server sends its refusal of
