Report a run of a dropped sender as unknown

What callers saw: nothing yet. A daemon that had removed runs of more than 16,384 processes of others answered "not begun" for runs that it had completed, so that the entry could repeat them or answer 503.

The list of senders whose runs were removed is bounded, and a sender that was dropped from it looked like one that never sent anything.

Evidence: run_of_a_dropped_sender_is_unknown failed before (resume of the first sender: Blocked) and passes.

--- a/src/decision/mesh/forgotten_runs.rs
+++ b/src/decision/mesh/forgotten_runs.rs
@@ -12,6 +12,8 @@
 pub struct ForgottenRuns {
     /// Number after the last removed run of each sender, in the order in which senders were added.
     ends: IndexMap<u64, u64>,
+    /// Whether senders were dropped, so that one that is not listed may have had runs here.
+    has_dropped_senders: bool,
 }
 
 impl ForgottenRuns {
@@ -21,6 +23,7 @@
         *end = (*end).max(id.number.saturating_add(1));
         if self.ends.len() > MAX_SENDERS {
             self.ends.shift_remove_index(0);
+            self.has_dropped_senders = true;
         }
     }
 
@@ -30,4 +33,9 @@
             .get(&id.sender)
             .is_some_and(|end| id.number < *end)
     }
+
+    /// Returns whether nothing is known of a sender whose runs may have been removed.
+    pub fn may_have_dropped(&self, sender: u64) -> bool {
+        self.has_dropped_senders && !self.ends.contains_key(&sender)
+    }
 }
--- a/src/decision/mesh/run_table.rs
+++ b/src/decision/mesh/run_table.rs
@@ -214,7 +214,11 @@
             Some(RunState::Finished { result, .. }) => ResumedRun::Finished(result.clone()),
             Some(RunState::Ended { .. }) => ResumedRun::Unknown,
             Some(RunState::Blocked { cause, .. }) => ResumedRun::Blocked(*cause),
-            None if self.forgotten.may_contain(id) => ResumedRun::Unknown,
+            None if self.forgotten.may_contain(id)
+                || self.forgotten.may_have_dropped(id.sender) =>
+            {
+                ResumedRun::Unknown
+            }
             None => {
                 self.stop(id, BlockCause::Missing, now);
                 ResumedRun::Blocked(BlockCause::Missing)
--- a/tests/mesh/run_table.rs
+++ b/tests/mesh/run_table.rs
@@ -213,3 +213,23 @@
         Ok(())
     });
 }
+
+/// Guards against a run that is reported as not begun because its sender was dropped from the bounded
+/// list of senders whose runs were removed.
+#[test]
+fn run_of_a_dropped_sender_is_unknown() {
+    const SENDERS: u64 = 16_400;
+    let clock = ManualClock::new();
+    let mut runs = RunTable::<u8>::new();
+    let run = |sender| RunId { sender, number: 1 };
+    for sender in 0..SENDERS {
+        runs.start(run(sender), terms(true, clock.now()));
+        assert!(runs.begin(run(sender)));
+        runs.finish(run(sender), 1, 1);
+    }
+    clock.advance(DEADLINE);
+    runs.expire(ORPHAN_TIMEOUT, clock.now());
+    for sender in [0, SENDERS - 1] {
+        assert_eq!(runs.resume(run(sender), clock.now()), ResumedRun::Unknown);
+    }
+}
