Bound numbers of settings and entries that sums with the clock or slots use

What callers saw: nothing yet. A window_s of the retry budget that is negative or too long made each request panic, a grace_s beyond the clock made the daemon panic at the stop signal, and 2^31 slots in an entry overflowed the length of the queue.

Looked at without a finding: Deadline-Ms (bounded by the route's timeout), Retry-After, the ages in messages of peers (32 bits of milliseconds), service times of peers (only compared as f64), the limit that a server names (clamped), weights (f64).

Evidence: unusable_window_does_not_stop_requests and huge_numbers_in_settings_and_entries_can_be_used failed before and pass.

--- a/src/decision/mesh/fleet_retry_budget.rs
+++ b/src/decision/mesh/fleet_retry_budget.rs
@@ -25,6 +25,9 @@
     }
 }
 
+/// Longest window. Sums of longer ones with the clock can overflow.
+const MAX_WINDOW: Duration = Duration::from_secs(60 * 60);
+
 /// Share of the retries allowed by [`BudgetBounds::ratio`] that is divided in proportion to the
 /// requests that enter at each daemon. This share and `EVEN_SHARE` add up to less than 1, as a
 /// reserve for retries whose costs are underestimated.
@@ -115,7 +118,8 @@
     }
 
     fn bucket(&mut self, service: &SmolStr, now: Instant) -> &mut CountBucket {
-        let window = Duration::from_secs_f64(self.bounds.window_s);
+        let window = Duration::try_from_secs_f64(self.bounds.window_s);
+        let window = window.map_or(MAX_WINDOW, |window| window.min(MAX_WINDOW));
         let length = window / BUCKETS;
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), VecDeque::new());
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -482,7 +482,7 @@
         initial_concurrency: concurrency,
         min_concurrency: concurrency,
         max_concurrency: concurrency,
-        queue_length: slots * QUEUED_PER_SLOT,
+        queue_length: slots.saturating_mul(QUEUED_PER_SLOT),
         queue_wait_ms: QUEUE_WAIT_MS,
     }
 }
--- a/src/mesh/mesh_settings.rs
+++ b/src/mesh/mesh_settings.rs
@@ -18,6 +18,9 @@
 /// Largest settings file, in bytes.
 const MAX_SETTINGS_BYTES: usize = 1 << 20;
 
+/// Longest grace period. Sums of longer ones with the clock can overflow.
+const MAX_GRACE_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Settings of one daemon, read from a TOML file.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -111,7 +114,8 @@
 
     /// Returns the time from the stop signal until the process is killed.
     pub fn grace_period(&self) -> Duration {
-        Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
+        let grace = Duration::try_from_secs_f64(self.grace_s).unwrap_or_default();
+        grace.min(MAX_GRACE_PERIOD)
     }
 }
 
--- a/tests/mesh/decoders.rs
+++ b/tests/mesh/decoders.rs
@@ -4,7 +4,10 @@
 use bytes::BytesMut;
 use skylarkstream::{
     decision::mesh::{fleet_view::ServingState, route_table::RunSemantics},
-    mesh::{mesh_settings::MeshSettings, peer_frame::PeerFrame, store_interface::StoreFormat},
+    mesh::{
+        executor::gate_limits, mesh_settings::MeshSettings, peer_frame::PeerFrame,
+        store_interface::StoreFormat,
+    },
     platform::store_format::PlatformStore,
 };
 use std::time::{Duration, Instant};
@@ -61,6 +64,23 @@
     }
 }
 
+/// Guards against a daemon that panics at the stop signal or when an entry is published, since a number
+/// in its settings or in the entry is too large for the sums that it is used in.
+#[test]
+fn huge_numbers_in_settings_and_entries_can_be_used() {
+    let text = "instance = \"i\"\ndata_centre = \"a\"\nservice = \"s\"\nbackend = \"127.0.0.1:1\"\n\
+                outbound = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\nreadiness = \"127.0.0.1:4\"\n\
+                store = \"127.0.0.1:5\"\ngrace_s = 1e19\n";
+    let settings = MeshSettings::from_bytes(text.as_bytes()).expect("settings");
+    let grace = settings.grace_period();
+    assert!(Instant::now().checked_add(grace).is_some(), "{grace:?}");
+    let entry = ENTRY.replace("\"slots\":91", &format!("\"slots\":{}", u32::MAX));
+    let entry = PlatformStore
+        .decode_entry(entry.as_bytes())
+        .expect("an entry");
+    assert_eq!(gate_limits(entry.slots).queue_length, u32::MAX);
+}
+
 /// Guards against routes, limits and retry rules that are decoded wrongly.
 #[test]
 fn config_is_decoded() {
--- a/tests/mesh/fleet_retry_budget.rs
+++ b/tests/mesh/fleet_retry_budget.rs
@@ -83,3 +83,19 @@
     clock.advance(Duration::from_secs(10));
     assert!(take(clock.now()));
 }
+
+/// Guards against settings whose window cannot be added to the clock: each request would panic.
+#[test]
+fn unusable_window_does_not_stop_requests() {
+    for window_s in [-1.0, 0.0, 1e19, f64::INFINITY, f64::NAN] {
+        let clock = ManualClock::new();
+        let bounds = BudgetBounds {
+            window_s,
+            ..BudgetBounds::default()
+        };
+        let mut budget = FleetRetryBudget::new(bounds, clock.now());
+        budget.record_request(&"s".into(), clock.now());
+        clock.advance(Duration::from_secs(1));
+        budget.record_request(&"s".into(), clock.now());
+    }
+}
