Start tasks that panicked again, and let readiness follow those that fail

Cause: the tasks of a daemon were never joined, and those of connections, links and runs were spawned without a look at their end. A panic left a process that no longer did that task's work.

Long-lived tasks now run under a supervisor that starts them again after a delay, and checks their state. Connections of peers, links, runs and requests are guarded one by one: a run that panics ends as "may have run", calls of a link are resumed on a new connection, and a caller gets 502.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,5 +9,6 @@
 pub mod profile_controller;
 pub mod retry_budgets;
 pub mod run_records;
+pub mod task_supervisor;
 pub mod threshold_controller;
 pub mod upstream_controller;
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -14,6 +14,7 @@
 pub mod profile;
 pub mod request_context;
 pub mod request_priority;
+pub mod restart_schedule;
 pub mod retry;
 pub mod routing;
 pub mod run_outcome;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -36,3 +36,4 @@
 pub mod store_interface;
 pub mod store_reader;
 pub mod suspect_controller;
+pub mod task_names;
--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -41,7 +41,7 @@
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Accepts connections of callers until the task is dropped.
-pub async fn serve(listener: TcpListener, proxy: Arc<EntryProxy>) {
+pub async fn serve(listener: Arc<TcpListener>, proxy: Arc<EntryProxy>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/mesh/connection_end.rs
+++ b/src/mesh/connection_end.rs
@@ -24,6 +24,9 @@
     /// This side closed the connection: nothing uses it any longer.
     #[error("closed here: it is no longer used")]
     Unused,
+    /// This side closed the connection: serving it panicked.
+    #[error("closed here: serving it panicked")]
+    Panicked,
     /// The peer closed the connection.
     #[error("closed by the peer")]
     PeerClosed,
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -18,6 +18,7 @@
         peer_frame::RunResponse,
         peer_links::PeerLinks,
         resolved_request::ResolvedRequest,
+        task_names,
     },
 };
 use bytes::Bytes;
@@ -95,10 +96,18 @@
         CallerResponse::local(reason, retry_after, attempt_id, &self.state.headers)
     }
 
-    /// Serves a request and returns its response.
+    /// Serves a request and returns its response. A panic fails only this request, which may have run.
     pub async fn serve(&self, request: CallerRequest) -> CallerResponse {
         let attempt_id = request.head.headers.get(self.state.headers.attempt);
         let attempt_id = Bytes::copy_from_slice(attempt_id.unwrap_or_default());
+        let serving = self.serve_attempt(request, attempt_id.clone());
+        let response = self.state.tasks.guard(task_names::CALLER_REQUEST, serving);
+        response
+            .await
+            .unwrap_or_else(|| self.local_response(LocalReason::Lost, &attempt_id, Duration::ZERO))
+    }
+
+    async fn serve_attempt(&self, request: CallerRequest, attempt_id: Bytes) -> CallerResponse {
         let resolved = self.resolve(&request.head);
         let result = match &resolved {
             Ok(resolved) => self.handle_request(&request, &attempt_id, resolved).await,
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     common::*,
+    controller::task_supervisor::TaskSupervisor,
     decision::{
         clock::Clock,
         mesh::{
@@ -55,6 +56,8 @@
     pub format: Arc<dyn StoreFormat>,
     /// Clock of all decisions.
     pub clock: Arc<dyn Clock>,
+    /// Starts tasks of this daemon again after a panic.
+    pub tasks: Arc<TaskSupervisor>,
     /// Random number that identifies this process of the daemon.
     pub daemon_id: u64,
     /// Runs requests at the backend server beside this daemon.
@@ -159,6 +162,7 @@
             plan: Mutex::default(),
             latest_load: Mutex::default(),
             executor: Arc::new(executor),
+            tasks: Arc::new(TaskSupervisor::new(Arc::clone(&clock))),
             suspects,
             settings,
             headers,
@@ -182,9 +186,11 @@
     }
 
     /// Returns whether the daemon can serve requests: it has routes and members, is not leaving,
-    /// and is not isolated. Clients of an isolated daemon are better served by another one.
+    /// all essential tasks work, and it is not isolated. Clients of an isolated daemon are better
+    /// served by another one.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving()
+            && self.tasks.failing_task().is_none()
             && self.routes.lock().is_some()
             && !self.view.lock().is_empty()
             && !self.selector.lock().is_isolated()
@@ -350,6 +356,7 @@
             limited_runs: self.executor.server.limited_count(),
             crashes: self.executor.crash_count(),
             is_server_leaving: self.executor.server.is_leaving(),
+            task_panics: self.tasks.panic_counts(),
         };
         self.metrics.text(self.executor.load(), &view)
     }
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -176,6 +176,11 @@
         self.store_contact.lock().response_age(self.clock.now())
     }
 
+    /// Applies all members again to what follows from them.
+    pub fn refresh_members(&self) {
+        self.update_members(self.clock.now());
+    }
+
     /// Removes members whose removal was delayed and is now due.
     pub fn apply_due_removals(&self) {
         let now = self.clock.now();
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     common::*,
+    controller::task_supervisor::TaskName,
     decision::{
-        clock::SystemClock,
+        clock::Clock,
         mesh::{
             instance_selector::MAX_MISSED_LOAD_MESSAGES,
             load_schedule::{LoadSchedule, PLAN_INTERVAL, regular_interval},
@@ -24,9 +25,11 @@
         start_sync::request_state,
         store_interface::StoreFormat,
         store_reader::StoreReader,
+        task_names,
     },
 };
 use std::{
+    future::Future,
     io,
     path::{Path, PathBuf},
     time::SystemTime,
@@ -78,6 +81,43 @@
     },
 }
 
+/// Tasks that run as long as the daemon.
+struct DaemonTasks<'a> {
+    state: &'a Arc<FleetState>,
+    tasks: JoinSet<()>,
+}
+
+impl<'a> DaemonTasks<'a> {
+    fn new(state: &'a Arc<FleetState>) -> Self {
+        Self {
+            state,
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Spawns a task that `start` creates, also after each panic.
+    fn spawn<F>(&mut self, name: TaskName, start: impl FnMut() -> F + Send + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let supervisor = Arc::clone(&self.state.tasks);
+        self.tasks.spawn(supervisor.supervise(name, start));
+    }
+
+    /// Spawns a task that works on the state and the links.
+    fn spawn_with_links<F>(
+        &mut self,
+        name: TaskName,
+        links: &Arc<PeerLinks>,
+        start: impl Fn(Arc<FleetState>, Arc<PeerLinks>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let (state, links) = (Arc::clone(self.state), Arc::clone(links));
+        self.spawn(name, move || start(Arc::clone(&state), Arc::clone(&links)));
+    }
+}
+
 /// Runs a daemon until it has received the stop signal and completed its requests, at most until
 /// `EXIT_MARGIN` before the end of the grace period. The settings are reloaded when their file
 /// changes.
@@ -86,14 +126,10 @@
     settings_path: PathBuf,
     headers: ContextHeaders,
     format: Arc<dyn StoreFormat>,
+    clock: Arc<dyn Clock>,
     mut stop: watch::Receiver<bool>,
 ) -> Result<(), MeshError> {
-    let state = Arc::new(FleetState::new(
-        settings,
-        headers,
-        format,
-        Arc::new(SystemClock),
-    ));
+    let state = Arc::new(FleetState::new(settings, headers, format, clock));
     let settings = &state.settings;
     let outbound = listen(settings.outbound).await?;
     let peer = listen(settings.peer).await?;
@@ -106,38 +142,67 @@
     let links = PeerLinks::new(Arc::clone(&state));
     let peer_listener = PeerListener::new(Arc::clone(&state), Arc::clone(&links));
     let proxy = Arc::new(EntryProxy::new(Arc::clone(&state), Arc::clone(&links)));
-    let mut tasks = JoinSet::new();
     let is_first_reader = state.reader_election.lock().is_reading();
-    let (is_reader_sender, is_reader) = watch::channel(is_first_reader);
-    let reader = StoreReader::new(Arc::clone(&state), Arc::clone(&links), is_reader);
-    tasks.spawn(reader.run());
-    tasks.spawn(elect_readers(Arc::clone(&state), is_reader_sender));
-    tasks.spawn(Arc::clone(&peer_listener).serve(peer));
-    tasks.spawn(caller_connection::serve(outbound, proxy));
-    let endpoint = MonitoringEndpoint::Readiness;
-    tasks.spawn(monitoring_listener::serve(
-        readiness,
-        endpoint,
-        Arc::clone(&state),
-    ));
+    let is_reader = watch::Sender::new(is_first_reader);
+    let mut tasks = DaemonTasks::new(&state);
+    tasks.spawn(task_names::STORE_READER, {
+        let (state, links, is_reader) = (Arc::clone(&state), Arc::clone(&links), is_reader.clone());
+        move || {
+            // A reader that panicked counts as one no longer, until it has read all items again.
+            state.stop_reading();
+            StoreReader::new(
+                Arc::clone(&state),
+                Arc::clone(&links),
+                is_reader.subscribe(),
+            )
+            .run()
+        }
+    });
+    tasks.spawn(task_names::READER_ELECTION, {
+        let state = Arc::clone(&state);
+        move || elect_readers(Arc::clone(&state), is_reader.clone())
+    });
+    tasks.spawn(task_names::PEER_LISTENER, {
+        let (peer, peer_listener) = (Arc::new(peer), Arc::clone(&peer_listener));
+        move || Arc::clone(&peer_listener).serve(Arc::clone(&peer))
+    });
+    tasks.spawn(task_names::CALLER_LISTENER, {
+        let outbound = Arc::new(outbound);
+        move || caller_connection::serve(Arc::clone(&outbound), Arc::clone(&proxy))
+    });
+    let monitoring = |listener: TcpListener, endpoint| {
+        let (state, listener) = (Arc::clone(&state), Arc::new(listener));
+        move || monitoring_listener::serve(Arc::clone(&listener), endpoint, Arc::clone(&state))
+    };
+    tasks.spawn(
+        task_names::READINESS_LISTENER,
+        monitoring(readiness, MonitoringEndpoint::Readiness),
+    );
     if let Some(address) = settings.metrics {
         let listener = listen(address).await?;
-        let endpoint = MonitoringEndpoint::Metrics;
-        tasks.spawn(monitoring_listener::serve(
-            listener,
-            endpoint,
-            Arc::clone(&state),
-        ));
+        tasks.spawn(
+            task_names::METRICS_LISTENER,
+            monitoring(listener, MonitoringEndpoint::Metrics),
+        );
     }
-    tasks.spawn(run_housekeeping(
-        Arc::clone(&state),
-        Arc::clone(&peer_listener),
-        Arc::clone(&links),
-    ));
-    tasks.spawn(announce_leaving(Arc::clone(&state), Arc::clone(&links)));
-    tasks.spawn(share_suspects(Arc::clone(&state), Arc::clone(&links)));
-    tasks.spawn(send_load(Arc::clone(&state), Arc::clone(&links)));
-    tasks.spawn(reload_settings(Arc::clone(&state), settings_path));
+    tasks.spawn(task_names::HOUSEKEEPING, {
+        let (state, links) = (Arc::clone(&state), Arc::clone(&links));
+        let peer_listener = Arc::clone(&peer_listener);
+        move || {
+            run_housekeeping(
+                Arc::clone(&state),
+                Arc::clone(&peer_listener),
+                Arc::clone(&links),
+            )
+        }
+    });
+    tasks.spawn_with_links(task_names::LEAVING_NOTICE, &links, announce_leaving);
+    tasks.spawn_with_links(task_names::SUSPECT_SHARING, &links, share_suspects);
+    tasks.spawn_with_links(task_names::LOAD_SENDER, &links, send_load);
+    tasks.spawn(task_names::SETTINGS_RELOAD, {
+        let state = Arc::clone(&state);
+        move || reload_settings(Arc::clone(&state), settings_path.clone())
+    });
     for seed in &settings.seeds {
         let address = SocketAddr::new(seed.ip(), settings.peer.port());
         if address.ip() != settings.peer.ip()
@@ -146,7 +211,7 @@
             link.send(PeerFrame::Ping);
         }
     }
-    tasks.spawn(request_state(Arc::clone(&state), Arc::clone(&links)));
+    tasks.spawn_with_links(task_names::START_SYNC, &links, request_state);
     let _ = stop.wait_for(|is_stopping| *is_stopping).await;
     let latest = state.clock.now() + state.settings.grace_period().saturating_sub(EXIT_MARGIN);
     state.start_leaving(latest);
@@ -271,6 +336,7 @@
     let mut next_probe = state.clock.now() + PROBE_INTERVAL;
     let mut last_housekeeping = state.clock.now();
     let mut pauses = PauseDetector::new(last_housekeeping);
+    let mut handled_panics = 0;
     loop {
         let has_queue = state.executor.tick();
         let interval = if has_queue {
@@ -290,6 +356,12 @@
         last_housekeeping = now;
         peer_listener.expire();
         state.apply_due_removals();
+        let panics = state.tasks.panic_count();
+        if panics != handled_panics {
+            // The panic may have left members that are merged but not selected yet.
+            handled_panics = panics;
+            state.refresh_members();
+        }
         if now >= next_probe {
             next_probe = now + PROBE_INTERVAL;
             links.probe_unreachable();
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -53,6 +53,8 @@
     pub refused_arrivals: u64,
     /// Whether the local backend server has announced that it leaves.
     pub is_server_leaving: bool,
+    /// Panics of tasks since the start of the process, by task.
+    pub task_panics: Vec<(&'static str, u64)>,
 }
 
 type Labels = Vec<(&'static str, String)>;
@@ -88,6 +90,7 @@
     crashes: Counter,
     suspects: Family<Labels, Gauge>,
     refused_arrivals: Counter,
+    task_panics: Family<Labels, Counter>,
 }
 
 impl MeshMetrics {
@@ -123,6 +126,7 @@
             crashes: Counter::default(),
             suspects: Family::default(),
             refused_arrivals: Counter::default(),
+            task_panics: Family::default(),
         };
         metrics.register();
         metrics
@@ -215,6 +219,11 @@
             "Times that a request was refused since it crashed backend servers",
             self.refused_arrivals.clone(),
         );
+        registry.register(
+            "task_panics",
+            "Panics of tasks of this daemon, which are started again",
+            self.task_panics.clone(),
+        );
         let gauges = [
             (
                 "store_reading",
@@ -344,6 +353,11 @@
             view.refused_arrivals
                 .saturating_sub(self.refused_arrivals.get()),
         );
+        for (task, count) in &view.task_panics {
+            let labels = vec![("task", (*task).to_owned())];
+            let counter = self.task_panics.get_or_create(&labels);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
         let mut output = String::new();
         // Writing to a string does not fail.
         let _ = text::encode(&mut output, &self.registry);
--- a/src/mesh/monitoring_listener.rs
+++ b/src/mesh/monitoring_listener.rs
@@ -28,7 +28,11 @@
 }
 
 /// Serves one endpoint at every path until the task is dropped.
-pub async fn serve(listener: TcpListener, endpoint: MonitoringEndpoint, state: Arc<FleetState>) {
+pub async fn serve(
+    listener: Arc<TcpListener>,
+    endpoint: MonitoringEndpoint,
+    state: Arc<FleetState>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/mesh/peer_link.rs
+++ b/src/mesh/peer_link.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     common::*,
+    controller::task_supervisor::TaskSupervisor,
     decision::mesh::link_liveness::{LinkLiveness, LivenessAction},
     mesh::{
         connection_end::ConnectionEnd,
         peer_frame::{CallFrame, HelloFrame, LoadFrame, PeerFrame, ReplyFrame, StoreUpdateFrame},
+        task_names,
     },
 };
 use bytes::BytesMut;
@@ -145,7 +147,11 @@
 
 impl PeerLink {
     /// Creates a link and spawns the task that connects to the peer.
-    pub fn start(address: SocketAddr, observer: Arc<dyn LinkObserver>) -> Arc<Self> {
+    pub fn start(
+        address: SocketAddr,
+        observer: Arc<dyn LinkObserver>,
+        tasks: Arc<TaskSupervisor>,
+    ) -> Arc<Self> {
         let (outbox, inbox) = mpsc::unbounded_channel();
         let link = Arc::new(Self {
             address,
@@ -155,6 +161,7 @@
         let driver = LinkDriver {
             link: Arc::clone(&link),
             observer,
+            tasks,
             inbox,
             peer_id: None,
             connection_number: 0,
@@ -214,6 +221,12 @@
         sent.map(|(number, _)| *number).collect()
     }
 
+    fn unsent_run_numbers(&self) -> Vec<u64> {
+        let pending = self.pending.lock();
+        let unsent = pending.iter().filter(|(_, call)| call.frame.is_some());
+        unsent.map(|(number, _)| *number).collect()
+    }
+
     fn has_pending(&self) -> bool {
         !self.pending.lock().is_empty()
     }
@@ -231,6 +244,7 @@
 struct LinkDriver {
     link: Arc<PeerLink>,
     observer: Arc<dyn LinkObserver>,
+    tasks: Arc<TaskSupervisor>,
     inbox: mpsc::UnboundedReceiver<Outgoing>,
     /// Daemon id in the last handshake of the peer.
     peer_id: Option<u64>,
@@ -240,8 +254,27 @@
 
 impl LinkDriver {
     async fn run(mut self) {
-        while let Some(first) = self.inbox.recv().await {
-            let mut first = Some(first);
+        let tasks = Arc::clone(&self.tasks);
+        // After a panic the calls that wait are resumed on a new connection.
+        while tasks
+            .guard(task_names::PEER_LINK, self.drive())
+            .await
+            .is_none()
+        {
+            tokio::time::sleep(RECONNECT_DELAY).await;
+        }
+    }
+
+    /// Connects whenever there is something to send.
+    async fn drive(&mut self) {
+        loop {
+            let mut first = None;
+            if !self.link.has_pending() {
+                let Some(outgoing) = self.inbox.recv().await else {
+                    return;
+                };
+                first = Some(outgoing);
+            }
             loop {
                 match self.connect().await {
                     Ok(stream) => {
@@ -322,6 +355,10 @@
         if let Some(first) = first {
             self.encode(first, &mut output);
         }
+        // Their messages may have been taken from the queue before the last connection ended.
+        for number in self.link.unsent_run_numbers() {
+            self.encode(Outgoing::Call(number), &mut output);
+        }
         let mut batch = Vec::with_capacity(WRITE_BATCH);
         let mut liveness = LinkLiveness::new(self.observer.now());
         loop {
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -53,7 +53,7 @@
         let observer = self.weak_self.upgrade()?;
         let mut links = self.links.lock();
         let entry = links.entry(address).or_insert_with(|| LinkEntry {
-            link: PeerLink::start(address, observer),
+            link: PeerLink::start(address, observer, Arc::clone(&self.state.tasks)),
             is_reachable: true,
         });
         Some(Arc::clone(&entry.link))
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -13,6 +13,7 @@
         },
         peer_links::PeerLinks,
         sender_connections::Outbox,
+        task_names,
     },
 };
 use bytes::BytesMut;
@@ -62,7 +63,7 @@
     }
 
     /// Accepts connections until the task is dropped.
-    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+    pub async fn serve(self: Arc<Self>, listener: Arc<TcpListener>) {
         loop {
             match listener.accept().await {
                 Ok((stream, address)) => {
@@ -140,17 +141,26 @@
         let mut tasks = self.tasks.lock();
         let task = tokio::spawn(async move {
             let state = &listener.state;
-            let reply = if state.can_reach_needed_services(&call.route) {
-                let begin = || listener.runs.lock().begin(id);
-                state.executor.run_call(&call, deadline, &begin).await
-            } else {
-                state.executor.refusal_reply(call.number, NotRunReason::Cut)
-            };
+            let running = listener.run_call(id, &call, deadline);
+            let reply = state.tasks.guard(task_names::PEER_RUN, running).await;
+            let reply = reply.unwrap_or_else(|| {
+                let result = RunResult::Unknown(UnknownReason::Broken);
+                state.executor.result_reply(call.number, result)
+            });
             listener.finish_run(id, reply);
         });
         tasks.insert(id, task.abort_handle());
     }
 
+    async fn run_call(&self, id: RunId, call: &CallFrame, deadline: Instant) -> ReplyFrame {
+        let state = &self.state;
+        if !state.can_reach_needed_services(&call.route) {
+            return state.executor.refusal_reply(call.number, NotRunReason::Cut);
+        }
+        let begin = || self.runs.lock().begin(id);
+        state.executor.run_call(call, deadline, &begin).await
+    }
+
     fn finish_run(&self, id: RunId, reply: ReplyFrame) {
         self.tasks.lock().swap_remove(&id);
         let reply = Arc::new(reply);
@@ -216,9 +226,11 @@
     async fn serve(mut self, mut stream: TcpStream) -> ConnectionEnd {
         let _ = stream.set_nodelay(true);
         let (outbox, inbox) = mpsc::unbounded_channel();
-        let end = self.run_connection(&mut stream, &outbox, inbox).await;
+        let tasks = Arc::clone(&self.listener.state.tasks);
+        let serving = self.run_connection(&mut stream, &outbox, inbox);
+        let end = tasks.guard(task_names::PEER_CONNECTION, serving).await;
         self.on_disconnect(&outbox);
-        end
+        end.unwrap_or(ConnectionEnd::Panicked)
     }
 
     async fn run_connection(
@@ -373,9 +385,10 @@
 
     /// Returns how much longer this request was in transit than the fastest one on this connection.
     fn transit_time(&mut self, queued_at_us: u64) -> Duration {
-        let difference = self.listener.state.uptime_us() as i64 - queued_at_us as i64;
+        let difference =
+            (self.listener.state.uptime_us() as i64).wrapping_sub_unsigned(queued_at_us);
         self.min_clock_difference_us = self.min_clock_difference_us.min(difference);
-        Duration::from_micros((difference - self.min_clock_difference_us) as u64)
+        Duration::from_micros(difference.abs_diff(self.min_clock_difference_us))
     }
 
     /// Marks the runs of the sender as orphaned until it reconnects, unless it already has.
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -2,6 +2,7 @@
 
 pub mod admin_server;
 pub mod attempt_counters;
+pub mod background_tasks;
 pub mod catalogue_driver;
 pub mod connection_pool;
 pub mod control;
--- a/src/shell/control_server.rs
+++ b/src/shell/control_server.rs
@@ -59,7 +59,11 @@
 }
 
 /// Serves the control listener until the future is dropped.
-pub async fn serve(listener: TcpListener, header: ControlHeader, gossip: Arc<GossipController>) {
+pub async fn serve(
+    listener: Arc<TcpListener>,
+    header: ControlHeader,
+    gossip: Arc<GossipController>,
+) {
     let server = ControlServer { header, gossip };
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut connections = JoinSet::new();
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -39,6 +39,7 @@
     settings::DaemonSettings,
     shell::{
         admin_server,
+        background_tasks::BackgroundTasks,
         catalogue_driver::CatalogueDriver,
         control::ControlHeader,
         control_client::ControlClient,
@@ -316,18 +317,24 @@
     let outbound = listen(settings.outbound).await?;
     let admin = listen(settings.admin).await?;
     let control = listen(settings.control).await?;
-    let mut background = JoinSet::new();
-    background.spawn(control_server::serve(
-        control,
-        ControlHeader::new(settings.cluster.clone()),
-        Arc::clone(&daemon.gossip),
-    ));
-    background.spawn(Arc::new(catalogue_driver(&daemon)).run());
-    background.spawn(run_gate_ticks(Arc::clone(&daemon)));
-    background.spawn(count_drain(Arc::clone(&daemon), stop.clone()));
-    background.spawn(daemon_lifecycle::detect_pauses(Arc::clone(&daemon)));
-    background.spawn(peer_probe::run(Arc::clone(&daemon)));
-    background.spawn(daemon_lifecycle::drain_on_stop(Arc::clone(&daemon), stop));
+    let mut background = BackgroundTasks::new(&daemon);
+    let control = Arc::new(control);
+    background.spawn("control_server", move |daemon| {
+        let header = ControlHeader::new(daemon.settings.cluster.clone());
+        control_server::serve(Arc::clone(&control), header, Arc::clone(&daemon.gossip))
+    });
+    let driver = Arc::new(catalogue_driver(&daemon));
+    background.spawn("catalogue", move |_| Arc::clone(&driver).run());
+    background.spawn("gate_ticks", run_gate_ticks);
+    let stopping = stop.clone();
+    background.spawn("drain_count", move |daemon| {
+        count_drain(daemon, stopping.clone())
+    });
+    background.spawn("pause_detection", daemon_lifecycle::detect_pauses);
+    background.spawn("peer_probe", peer_probe::run);
+    background.spawn("drain", move |daemon| {
+        daemon_lifecycle::drain_on_stop(daemon, stop.clone())
+    });
     let local_stop = watch::Sender::new(false);
     let mut local_listeners = JoinSet::new();
     let handler = OutboundHandler {
--- a/src/subcommand/sidecar.rs
+++ b/src/subcommand/sidecar.rs
@@ -2,6 +2,7 @@
 
 use super::{SubcommandError, run::stop_signal};
 use crate::{
+    decision::clock::SystemClock,
     mesh::{mesh_daemon, mesh_settings::MeshSettings},
     platform::{context_names, store_format::PlatformStore},
     shell::logging,
@@ -33,6 +34,7 @@
             arguments.settings.clone(),
             context_names::context_headers(),
             format,
+            Arc::new(SystemClock),
             stop,
         )
         .await?;
--- a/tests/control_listener.rs
+++ b/tests/control_listener.rs
@@ -65,7 +65,11 @@
         SystemClock.now(),
     );
     let header = ControlHeader::new("loopback".into());
-    tokio::spawn(control_server::serve(listener, header, Arc::new(gossip)));
+    tokio::spawn(control_server::serve(
+        Arc::new(listener),
+        header,
+        Arc::new(gossip),
+    ));
     (address, stamp)
 }
 
--- a/tests/mesh/end_to_end.rs
+++ b/tests/mesh/end_to_end.rs
@@ -5,6 +5,7 @@
     stand_ins::{BackendStandIn, Behaviour, StoreStandIn, free_port, loopback, serve_bytes},
 };
 use skylarkstream::{
+    decision::clock::{Clock, SystemClock},
     mesh::{mesh_daemon, mesh_settings::MeshSettings},
     platform::{context_names::context_headers, store_format::PlatformStore},
 };
@@ -30,9 +31,11 @@
 pub struct Fleet {
     pub backends: Vec<Arc<BackendStandIn>>,
     /// Addresses of the backend servers.
-    addresses: Vec<SocketAddr>,
+    pub addresses: Vec<SocketAddr>,
     pub outbound: Vec<SocketAddr>,
     readiness: Vec<SocketAddr>,
+    /// Addresses of the metrics.
+    pub metrics: Vec<SocketAddr>,
     stops: Vec<watch::Sender<bool>>,
     daemons: Vec<JoinHandle<()>>,
     store: Arc<StoreStandIn>,
@@ -43,10 +46,30 @@
         Self::start_with(true, false, GRACE_S).await
     }
 
+    /// Starts a fleet whose daemons read a clock.
+    pub async fn start_with_clock(clock: Arc<dyn Clock>) -> Self {
+        Self::start_all(true, false, GRACE_S, clock).await
+    }
+
     /// Starts a fleet. If `is_store_refusing` is true, the store refuses all calls of the first
     /// daemon.
     async fn start_with(has_config: bool, is_store_refusing: bool, grace_s: f64) -> Self {
-        let [peer, outbound, readiness, backend, store] = [(); 5].map(|()| free_port());
+        Self::start_all(
+            has_config,
+            is_store_refusing,
+            grace_s,
+            Arc::new(SystemClock),
+        )
+        .await
+    }
+
+    async fn start_all(
+        has_config: bool,
+        is_store_refusing: bool,
+        grace_s: f64,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let [peer, outbound, readiness, metrics, backend, store] = [(); 6].map(|()| free_port());
         let store_address = loopback(1, store);
         let store = StoreStandIn::start(store_address).await;
         let mut fleet = Self {
@@ -54,6 +77,7 @@
             addresses: Vec::new(),
             outbound: Vec::new(),
             readiness: Vec::new(),
+            metrics: Vec::new(),
             daemons: Vec::new(),
             stops: Vec::new(),
             store,
@@ -76,22 +100,26 @@
             let text = format!(
                 "instance = \"d-{number}\"\ndata_centre = \"a\"\nservice = \"s\"\n\
                  backend = \"{}\"\noutbound = \"{}\"\npeer = \"{}\"\nreadiness = \"{}\"\n\
+                 metrics = \"{}\"\n\
                  store = \"{store_address}\"\ngrace_s = {grace_s:?}\n\
                  budget = {{ ratio = 0.2, slack = 5000.0, window_s = 10.0 }}\n",
                 loopback(number, backend),
                 loopback(number, outbound),
                 loopback(number, peer),
                 loopback(number, readiness),
+                loopback(number, metrics),
             );
             let settings = MeshSettings::from_bytes(text.as_bytes()).expect("settings");
             fleet.outbound.push(settings.outbound);
             fleet.readiness.push(settings.readiness);
+            fleet.metrics.push(loopback(number, metrics));
             let (sender, stop) = watch::channel(false);
             fleet.stops.push(sender);
+            let clock = Arc::clone(&clock);
             fleet.daemons.push(tokio::spawn(async move {
                 let format = Arc::new(PlatformStore);
                 let path = PathBuf::from("absent.toml");
-                mesh_daemon::run(settings, path, context_headers(), format, stop)
+                mesh_daemon::run(settings, path, context_headers(), format, clock, stop)
                     .await
                     .expect("a daemon");
             }));
@@ -102,7 +130,7 @@
         fleet
     }
 
-    fn publish(&self, id: &str, address: SocketAddr, state: &str) {
+    pub fn publish(&self, id: &str, address: SocketAddr, state: &str) {
         let entry = format!(
             r#"{{"service":"s","address":"{address}","zone":"a","version":"v1","slots":20,
             "state":"{state}","cold-remaining-s":0,"sequence":1,"born":1}}"#
@@ -110,7 +138,7 @@
         self.store.put(&format!("servers/{id}"), &entry);
     }
 
-    async fn wait_until_ready(&self) {
+    pub async fn wait_until_ready(&self) {
         for address in &self.readiness {
             while !send_request(*address, "GET /readiness HTTP/1.1\r\n\r\n")
                 .await
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -32,3 +32,4 @@
 mod stand_ins;
 mod start_sync;
 mod store_reader;
+mod task_panics;
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -3,6 +3,7 @@
 use crate::stand_ins::{BackendStandIn, Behaviour, RefusalStyle, free_port, loopback};
 use bytes::{Bytes, BytesMut};
 use skylarkstream::{
+    controller::task_supervisor::TaskSupervisor,
     decision::clock::{Clock, ManualClock, SystemClock},
     mesh::{
         fleet_state::FleetState,
@@ -36,6 +37,10 @@
 /// Time after which a test fails because of a message that does not arrive.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
 
+fn supervisor() -> Arc<TaskSupervisor> {
+    Arc::new(TaskSupervisor::new(Arc::new(SystemClock)))
+}
+
 /// Keeps what the peer sent.
 #[derive(Default)]
 struct FrameObserver {
@@ -171,14 +176,14 @@
         let socket = TcpListener::bind(peer).await.expect("the address");
         let links = PeerLinks::new(Arc::clone(&state));
         let listener = PeerListener::new(Arc::clone(&state), Arc::clone(&links));
-        tokio::spawn(Arc::clone(&listener).serve(socket));
+        tokio::spawn(Arc::clone(&listener).serve(Arc::new(socket)));
         let proxy = LinkProxy::start(peer).await;
         let observer = Arc::new(FrameObserver::default());
         let link_observer: Arc<dyn LinkObserver> = Arc::clone(&observer) as _;
         Self {
             peer,
             backend: BackendStandIn::start(backend, "i-1").await,
-            link: PeerLink::start(proxy.address, link_observer),
+            link: PeerLink::start(proxy.address, link_observer, supervisor()),
             proxy,
             observer,
             state,
@@ -536,7 +541,7 @@
     let address = listener.local_addr().expect("an address");
     let observer: Arc<dyn LinkObserver> = Arc::clone(&scenario.observer) as _;
     let number = call.number;
-    let call = PeerLink::start(address, observer).call(call);
+    let call = PeerLink::start(address, observer, supervisor()).call(call);
     let handshake = |daemon_id: Option<u64>| {
         let mut bytes = BytesMut::new();
         if let Some(daemon_id) = daemon_id {
