--- a/src/decision/mesh.rs
+++ b/src/decision/mesh.rs
@@ -25,5 +25,7 @@
 pub mod server_notes;
 pub mod service_times;
 pub mod shutdown_wait;
+pub mod start_check;
+pub mod store_position;
 pub mod traffic_split;
 pub mod update_gap;
--- a/src/decision/mesh/fleet_view.rs
+++ b/src/decision/mesh/fleet_view.rs
@@ -1,6 +1,10 @@
 //! Backend servers of all services, merged from the store and from peers.
 
-use crate::common::*;
+use crate::{
+    common::*,
+    decision::mesh::store_position::{StorePosition, WriteStamp},
+};
+use std::cmp::Ordering;
 
 /// Time after the store has become reachable again within which backend servers renew entries that
 /// expired during the outage.
@@ -32,35 +36,58 @@
     pub remaining_warm_up: Duration,
     /// Unix time of the start in milliseconds, if published.
     pub started_ms: Option<u64>,
+    /// Number of the write since the start of the backend server.
+    pub sequence: u64,
 }
 
-/// Value of the store under the key of one backend server, with its revision.
+impl BackendEntry {
+    /// Returns the order of this entry among those of its backend server.
+    pub fn write_stamp(&self) -> WriteStamp {
+        WriteStamp {
+            started_ms: self.started_ms,
+            sequence: self.sequence,
+        }
+    }
+}
+
+/// Value of the store under the key of one backend server, with its position.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VersionedEntry {
     /// Instance id of the backend server.
     pub id: SmolStr,
-    /// Revision of the store at which the value was last changed.
-    pub revision: u64,
+    /// Position of the store at which the value was last changed.
+    pub position: StorePosition,
     /// Decoded entry; `None` if it was removed or cannot be decoded.
     pub value: Option<BackendEntry>,
 }
 
 #[derive(Debug)]
 struct MemberState {
-    revision: u64,
+    position: StorePosition,
     entry: BackendEntry,
     removal: Option<Removal>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Removal {
-    revision: u64,
+    position: StorePosition,
     effective_at: Instant,
     /// Whether the removal waits until this daemon can read the store again, since the entry may
     /// have been renewed.
     waits_for_store: bool,
 }
 
+/// What is known of an entry.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownEntry {
+    position: StorePosition,
+    /// Last write of a backend server that leaves or has left; `None` if it serves, or if no entry of
+    /// it was known when it was removed.
+    departure: Option<WriteStamp>,
+    /// Last write of a backend server that serves.
+    service: Option<WriteStamp>,
+}
+
 /// Whether this daemon can read the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreReachability {
@@ -69,16 +96,25 @@
     RecoveredAt(Instant),
 }
 
-/// Backend servers of all services. Entries are merged by their revision, so the order in which
-/// they arrive from the store and from peers does not matter.
+/// Backend servers of all services. Entries are merged by their position in the store, so the order
+/// in which they arrive from the store and from peers does not matter.
+///
+/// A store that came back from an older copy may show a backend server as ready that has announced
+/// or completed its departure since. Between two eras a departure therefore holds against entries
+/// that the server did not write after it.
 #[derive(Debug)]
 pub struct FleetView {
     members: IndexMap<SmolStr, MemberState>,
-    removed_revisions: IndexMap<SmolStr, u64>,
+    /// What was known last of removed entries.
+    removed: IndexMap<SmolStr, KnownEntry>,
     store_reachability: StoreReachability,
+    /// Last era in which the store responded to this daemon.
+    era: Option<u64>,
+    /// Position of the last complete list that was merged.
+    complete: StorePosition,
 }
 
-/// Maximum number of removed entries whose revisions are kept.
+/// Maximum number of removed entries that are remembered.
 const MAX_REMOVED_ENTRIES: usize = 4_096;
 
 impl FleetView {
@@ -86,8 +122,22 @@
     pub fn new() -> Self {
         Self {
             members: IndexMap::new(),
-            removed_revisions: IndexMap::new(),
+            removed: IndexMap::new(),
             store_reachability: StoreReachability::Reachable,
+            era: None,
+            complete: StorePosition::default(),
+        }
+    }
+
+    /// Records that the store responded in an era. In a new one, entries that were written after the
+    /// copy are missing until their backend servers write them again.
+    pub fn enter_era(&mut self, era: u64, now: Instant) {
+        if self.era.is_some_and(|current| era <= current) {
+            return;
+        }
+        let is_restored = self.era.replace(era).is_some();
+        if is_restored && self.store_reachability != StoreReachability::Unreachable {
+            self.store_reachability = StoreReachability::RecoveredAt(now);
         }
     }
 
@@ -143,86 +193,108 @@
     }
 
     fn merge(&mut self, entry: &VersionedEntry, removal: (Instant, bool), now: Instant) -> bool {
-        let current = self.members.get(&entry.id).map_or(0, |state| {
-            state
-                .removal
-                .map_or(state.revision, |removal| removal.revision)
-        });
-        let removed = self.removed_revisions.get(&entry.id).copied().unwrap_or(0);
-        if entry.revision <= current.max(removed) {
+        if !self.known(&entry.id).is_replaced_by(entry) {
             return false;
         }
         match &entry.value {
             Some(value) => {
-                self.removed_revisions.swap_remove(&entry.id);
+                self.removed.swap_remove(&entry.id);
                 let state = MemberState {
-                    revision: entry.revision,
+                    position: entry.position,
                     entry: value.clone(),
                     removal: None,
                 };
                 self.members.insert(entry.id.clone(), state);
             }
-            None => self.remove(&entry.id, entry.revision, removal, now),
+            None => self.remove(&entry.id, entry.position, removal, now),
         }
         true
     }
 
-    /// Merges a complete list that this daemon read at `revision`, and marks the members that are
+    fn known(&self, id: &SmolStr) -> KnownEntry {
+        if let Some(state) = self.members.get(id) {
+            return state.known();
+        }
+        let known = self.removed.get(id).copied().unwrap_or_default();
+        KnownEntry {
+            // What a complete list lacks is not added by what came before it.
+            position: known.position.max(self.complete),
+            ..known
+        }
+    }
+
+    /// Starts to merge a complete list. One that is not older than the last one may add any entry.
+    pub fn begin_list(&mut self, position: StorePosition) {
+        if position >= self.complete {
+            self.complete = StorePosition::default();
+        }
+    }
+
+    /// Merges a complete list that this daemon read at `position`, and marks the members that are
     /// not in it as removed. Returns the ids of those.
     pub fn reconcile(
         &mut self,
         entries: &[VersionedEntry],
-        revision: u64,
+        position: StorePosition,
         now: Instant,
     ) -> Vec<SmolStr> {
-        self.merge_all(entries, revision, self.local_removal(now), now)
+        self.merge_all(entries, position, self.local_removal(now), now)
     }
 
-    /// Merges a complete list received from a peer as of `revision`, and marks the members that are
+    /// Merges a complete list received from a peer as of `position`, and marks the members that are
     /// not in it as removed. Returns the ids of those. `recovered_at` is the result of
     /// [`Self::recovered_at`] at the peer.
     pub fn reconcile_from_peer(
         &mut self,
         entries: &[VersionedEntry],
-        revision: u64,
+        position: StorePosition,
         recovered_at: Option<Instant>,
         now: Instant,
     ) -> Vec<SmolStr> {
-        self.merge_all(entries, revision, peer_removal(recovered_at, now), now)
+        self.merge_all(entries, position, peer_removal(recovered_at, now), now)
     }
 
     fn merge_all(
         &mut self,
         entries: &[VersionedEntry],
-        revision: u64,
+        position: StorePosition,
         removal: (Instant, bool),
         now: Instant,
     ) -> Vec<SmolStr> {
+        self.begin_list(position);
         for entry in entries {
             self.merge(entry, removal, now);
         }
-        let missing: Vec<SmolStr> = self
-            .members
-            .iter()
-            .filter(|(id, state)| {
-                state.removal.is_none()
-                    && state.revision <= revision
-                    && !entries.iter().any(|entry| entry.id == **id)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let mut missing = Vec::new();
+        for (id, state) in &mut self.members {
+            if state.known().position > position || entries.iter().any(|entry| entry.id == *id) {
+                continue;
+            }
+            match &mut state.removal {
+                Some(removal) => removal.position = position,
+                None => missing.push(id.clone()),
+            }
+        }
         for id in &missing {
-            self.remove(id, revision, removal, now);
+            self.remove(id, position, removal, now);
         }
+        self.complete = self.complete.max(position);
         missing
     }
 
-    fn remove(&mut self, id: &SmolStr, revision: u64, removal: (Instant, bool), now: Instant) {
+    fn remove(
+        &mut self,
+        id: &SmolStr,
+        position: StorePosition,
+        removal: (Instant, bool),
+        now: Instant,
+    ) {
         let Some(state) = self.members.get_mut(id) else {
-            if self.removed_revisions.len() >= MAX_REMOVED_ENTRIES {
-                self.removed_revisions.swap_remove_index(0);
-            }
-            self.removed_revisions.insert(id.clone(), revision);
+            let known = KnownEntry {
+                position,
+                ..self.known(id)
+            };
+            self.remember_removed(id.clone(), known);
             return;
         };
         // A ready entry that is missing after a store outage may have expired although its backend
@@ -234,7 +306,7 @@
             (now, false)
         };
         state.removal = Some(Removal {
-            revision,
+            position,
             effective_at,
             waits_for_store,
         });
@@ -243,24 +315,29 @@
     /// Drops members whose removal has taken effect; returns whether any was dropped.
     pub fn drop_removed(&mut self, now: Instant) -> bool {
         let is_unreachable = self.store_reachability == StoreReachability::Unreachable;
-        let dropped: Vec<(SmolStr, u64)> = self
+        let dropped: Vec<(SmolStr, KnownEntry)> = self
             .members
             .iter()
             .filter_map(|(id, state)| {
                 let removal = state.removal?;
                 let is_due =
                     removal.effective_at <= now && !(is_unreachable && removal.waits_for_store);
-                is_due.then(|| (id.clone(), removal.revision))
+                is_due.then(|| (id.clone(), state.known()))
             })
             .collect();
-        for (id, revision) in &dropped {
-            self.members.swap_remove(id);
-            if self.removed_revisions.len() >= MAX_REMOVED_ENTRIES {
-                self.removed_revisions.swap_remove_index(0);
-            }
-            self.removed_revisions.insert(id.clone(), *revision);
+        let has_dropped = !dropped.is_empty();
+        for (id, known) in dropped {
+            self.members.swap_remove(&id);
+            self.remember_removed(id, known);
+        }
+        has_dropped
+    }
+
+    fn remember_removed(&mut self, id: SmolStr, known: KnownEntry) {
+        if self.removed.len() >= MAX_REMOVED_ENTRIES {
+            self.removed.swap_remove_index(0);
         }
-        !dropped.is_empty()
+        self.removed.insert(id, known);
     }
 
     /// Returns all members with their ids.
@@ -274,6 +351,40 @@
     }
 }
 
+impl MemberState {
+    fn known(&self) -> KnownEntry {
+        let stamp = self.entry.write_stamp();
+        let leaves = self.removal.is_some() || self.entry.state == ServingState::Draining;
+        KnownEntry {
+            position: self
+                .removal
+                .map_or(self.position, |removal| removal.position),
+            departure: leaves.then_some(stamp),
+            service: (!leaves).then_some(stamp),
+        }
+    }
+}
+
+impl KnownEntry {
+    /// Returns whether an entry takes the place of what is known. Within an era the position decides.
+    fn is_replaced_by(&self, entry: &VersionedEntry) -> bool {
+        let stamp = entry.value.as_ref().map(BackendEntry::write_stamp);
+        let is_ready = entry
+            .value
+            .as_ref()
+            .is_some_and(|value| value.state == ServingState::Ready);
+        match entry.position.era.cmp(&self.position.era) {
+            Ordering::Equal => entry.position > self.position,
+            // The older copy does not undo a departure.
+            Ordering::Greater if is_ready => self.departure.is_none_or(|last| stamp > Some(last)),
+            Ordering::Greater => true,
+            // The copy lacks a departure that was written after it.
+            Ordering::Less if is_ready => false,
+            Ordering::Less => self.service.is_some_and(|last| stamp > Some(last)),
+        }
+    }
+}
+
 /// Returns when the removal of a ready entry received from a peer takes effect, and false, since it
 /// does not wait until this daemon can read the store.
 fn peer_removal(recovered_at: Option<Instant>, now: Instant) -> (Instant, bool) {
--- a/src/decision/mesh/reader_election.rs
+++ b/src/decision/mesh/reader_election.rs
@@ -9,7 +9,7 @@
 //! seed, and elect the readers of each data centre when their peers know them and have sent their
 //! status.
 
-use crate::common::*;
+use crate::{common::*, decision::mesh::store_position::StorePosition};
 
 /// Number of daemons of each data centre that read the store. With two, store updates continue when
 /// one fails; the readers of the other data centres are further reserves.
@@ -46,10 +46,14 @@
     pub data_centre: SmolStr,
     /// Whether the daemon reads the store and got its last responses in time.
     pub is_reading: bool,
-    /// Revision of the store up to which the daemon has all entries.
-    pub entries_revision: u64,
+    /// Position of the store up to which the daemon has all entries.
+    pub position: StorePosition,
     /// Version of the route configuration in force; 0 without one.
     pub config_version: u64,
+    /// Whether the daemon tells the eras of the store apart. Earlier builds do not, and take what a
+    /// restored store says for old. Appended to the message.
+    #[serde(skip)]
+    pub knows_eras: bool,
 }
 
 #[derive(Debug)]
@@ -114,11 +118,12 @@
         }
     }
 
-    /// Records the status of a peer. Peers in other data centres do not count.
+    /// Records the status of a peer. Peers in other data centres do not count, and those of earlier
+    /// builds do not count as readers.
     pub fn record_status(&mut self, peer_id: u64, status: &StoreStatus, now: Instant) {
         if status.data_centre == self.data_centre && peer_id != self.daemon_id {
             let peer = PeerState {
-                is_reading: status.is_reading,
+                is_reading: status.is_reading && status.knows_eras,
                 last_seen: now,
             };
             self.peers.insert(peer_id, peer);
--- a/src/emulator/fleet_spec.rs
+++ b/src/emulator/fleet_spec.rs
@@ -7,6 +7,7 @@
         route_table::{
             CallerLimits, RouteSpec, RouteTable, RouteVersion, RunSemantics, WeightedTarget,
         },
+        store_position::StorePosition,
     },
 };
 use smol_str::format_smolstr;
@@ -107,7 +108,10 @@
                 let data_centre = self.data_centres[usize::from(number) % self.data_centres.len()];
                 let entry = VersionedEntry {
                     id: format_smolstr!("i-{number}"),
-                    revision: u64::from(number) + 1,
+                    position: StorePosition {
+                        era: 0,
+                        revision: u64::from(number) + 1,
+                    },
                     value: Some(BackendEntry {
                         service: service.name.into(),
                         address: SocketAddr::new(ip, 80),
@@ -116,6 +120,7 @@
                         state: ServingState::Ready,
                         remaining_warm_up: Duration::ZERO,
                         started_ms: None,
+                        sequence: 1,
                     }),
                 };
                 view.apply(&entry, now);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -19,6 +19,7 @@
 pub mod fleet_state;
 pub mod forwarded_caller;
 pub mod forwarded_head;
+pub mod frame_additions;
 pub mod mesh_daemon;
 pub mod mesh_metrics;
 pub mod mesh_settings;
--- a/src/mesh/entry_proxy.rs
+++ b/src/mesh/entry_proxy.rs
@@ -175,7 +175,8 @@
 
     /// Finds the route of a request, and the organisation of its caller.
     fn resolve(&self, head: &RequestHead) -> Result<ResolvedRequest, LocalReason> {
-        let routes: Arc<RouteTable> = self.state.routes().ok_or(LocalReason::NoConfig)?;
+        let routes = self.state.routes().filter(|_| !self.state.is_starting());
+        let routes: Arc<RouteTable> = routes.ok_or(LocalReason::NoConfig)?;
         ResolvedRequest::new(routes, head, &self.state.headers).ok_or(LocalReason::NoRoute)
     }
 
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -17,6 +17,7 @@
             reader_election::{ReaderElection, StartProgress, StoreStatus},
             route_table::RouteTable,
             server_notes::ServerNotes,
+            start_check::StartCheck,
             traffic_split::TrafficSplit,
             update_gap::UpdateGap,
         },
@@ -32,7 +33,7 @@
         mesh_metrics::{MeshMetrics, ViewReport},
         mesh_settings::MeshSettings,
         peer_frame::{HelloFrame, LoadFrame},
-        store_contact::StoreContact,
+        store_contact::{StoreContact, UpdateSource},
         store_interface::{StoreFormat, StoreItem},
         suspect_controller::SuspectController,
     },
@@ -93,6 +94,13 @@
     /// Whether the store has an entry of the local backend server.
     is_published: AtomicBool,
     is_leaving: AtomicBool,
+    /// Way by which the configuration in force arrived.
+    config_source: Mutex<Option<UpdateSource>>,
+    /// Whether a peer sent a complete state.
+    has_peer_state: AtomicBool,
+    /// Question to the peers, until the start is complete.
+    start_check: Mutex<Option<StartCheck>>,
+    is_starting: AtomicBool,
     exit_deadline: Mutex<Option<Instant>>,
     next_run_number: AtomicU64,
     open_requests: AtomicU64,
@@ -174,6 +182,10 @@
             routes: Mutex::default(),
             is_published: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            config_source: Mutex::default(),
+            has_peer_state: AtomicBool::new(false),
+            start_check: Mutex::default(),
+            is_starting: AtomicBool::new(false),
             exit_deadline: Mutex::default(),
             next_run_number: AtomicU64::new(1),
             open_requests: AtomicU64::new(0),
@@ -190,6 +202,7 @@
     /// served by another one.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving()
+            && !self.is_starting()
             && self.tasks.failing_task().is_none()
             && self.routes.lock().is_some()
             && !self.view.lock().is_empty()
@@ -211,6 +224,53 @@
             .all(|service| *service == self.settings.service || selector.can_reach(service, now))
     }
 
+    /// Holds requests of callers back until [`Self::finish_start`].
+    pub fn begin_start(&self) {
+        self.is_starting.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this daemon has not yet asked its peers for their state.
+    pub fn is_starting(&self) -> bool {
+        self.is_starting.load(Ordering::Relaxed)
+    }
+
+    /// Starts the question to peers, whose handshakes answer it.
+    pub fn ask_peers(&self, peers: impl Iterator<Item = IpAddr>) {
+        *self.start_check.lock() = Some(StartCheck::new(peers, self.clock.now()));
+    }
+
+    /// Returns whether a peer sent its state, or none has one or sends it in time.
+    pub fn has_asked_peers(&self) -> bool {
+        let check = self.start_check.lock();
+        self.has_peer_state.load(Ordering::Relaxed)
+            || check
+                .as_ref()
+                .is_some_and(|check| check.is_over(self.clock.now()))
+    }
+
+    /// Records the handshake of a peer; returns whether to request its state.
+    pub fn record_handshake(&self, peer: IpAddr, hello: &HelloFrame) -> bool {
+        let mut check = self.start_check.lock();
+        let check = check.as_mut();
+        check.is_some_and(|check| check.record_answer(peer, hello.config_version))
+    }
+
+    /// Serves from now on by the state that this daemon has.
+    pub fn finish_start(&self) {
+        *self.start_check.lock() = None;
+        if !self.is_starting.swap(false, Ordering::Relaxed) {
+            return;
+        }
+        let position = self.update_gap.lock().position();
+        let source = self.config_source.lock().map(|source| source.to_string());
+        log::info!(
+            config = self.routes().map(|routes| routes.version().0),
+            source = source,
+            position:% = position;
+            "start: Serving by this configuration."
+        );
+    }
+
     /// Returns whether the daemon is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
@@ -344,6 +404,7 @@
             refused_requests,
             refused_arrivals: self.suspects.refused_count(),
             config_version: self.routes().map_or(0, |routes| routes.version().0),
+            store_position: self.update_gap.lock().position(),
             members: self.member_count(),
             is_published: self.is_published.load(Ordering::Relaxed),
             response_age: self.store_response_age(),
@@ -397,7 +458,7 @@
             self.allotments.lock().record_peer(ip, demand, now);
         }
         let mut gap = self.update_gap.lock();
-        gap.needs_full_sync(load.store_status.entries_revision, is_behind, now)
+        gap.needs_full_sync(load.store_status.position, is_behind, now)
     }
 
     /// Returns whether the configuration is recent enough to accept the keys in it.
@@ -419,7 +480,8 @@
         StoreStatus {
             data_centre: self.settings.data_centre.clone(),
             is_reading: is_current && !self.is_store_unreachable(),
-            entries_revision: self.update_gap.lock().revision(),
+            position: self.update_gap.lock().position(),
+            knows_eras: true,
             config_version: self.routes().map_or(0, |routes| routes.version().0),
         }
     }
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -3,19 +3,38 @@
 use super::FleetState;
 use crate::{
     common::*,
-    decision::mesh::fleet_view::VersionedEntry,
+    decision::mesh::{fleet_view::VersionedEntry, store_position::StorePosition},
     mesh::{peer_frame::StoreUpdateFrame, store_contact::UpdateSource, store_interface::StoreItem},
 };
 use std::{net::IpAddr, sync::atomic::Ordering};
 
+/// Result of the application of items.
+struct AppliedItems {
+    /// Items that changed the state, which the peers get.
+    changed: Vec<StoreItem>,
+    /// Position of the last item that this daemon had already. The peers got it from another daemon, if
+    /// at all.
+    known: StorePosition,
+}
+
+/// Returns the position up to which peers need all entries before an update. One from an era to the next
+/// starts in the earlier one.
+fn range_start(previous: StorePosition, known: StorePosition) -> StorePosition {
+    if known.era == previous.era {
+        previous.max(known)
+    } else {
+        previous
+    }
+}
+
 impl FleetState {
     /// Returns the route configuration and all entries that this daemon has.
     pub fn full_store_state(&self) -> StoreUpdateFrame {
-        let revision = self.update_gap.lock().revision();
+        let position = self.update_gap.lock().position();
         let items = self.items.lock();
         let entries = items.entries.values();
         let items = items.config.iter().chain(entries).cloned().collect();
-        self.store_update(items, revision > 0, 0)
+        self.store_update(items, !position.is_start(), StorePosition::default())
     }
 
     /// Creates the update that sends items to peers.
@@ -23,15 +42,15 @@
         &self,
         items: Vec<StoreItem>,
         is_complete: bool,
-        previous: u64,
+        previous: StorePosition,
     ) -> StoreUpdateFrame {
         let now = self.clock.now();
         let recovered_at = self.view.lock().recovered_at(now);
         StoreUpdateFrame {
             items,
             is_complete,
-            previous_revision: previous,
-            last_revision: self.update_gap.lock().revision(),
+            previous,
+            last: self.update_gap.lock().position(),
             since_store_recovery_ms: recovered_at
                 .map(|at| now.saturating_duration_since(at).as_millis() as u32),
         }
@@ -45,34 +64,35 @@
     ) -> StoreUpdateFrame {
         let now = self.clock.now();
         let apply = |entry: &VersionedEntry| self.view.lock().apply(entry, now);
-        let changed = self.apply_items(source, items, apply, now);
-        let mut gap = self.update_gap.lock();
-        let previous = gap.revision();
-        gap.mark_complete(items.iter().map(|item| item.revision).max().unwrap_or(0));
-        drop(gap);
-        self.store_update(changed, false, previous)
+        let applied = self.apply_items(source, items, apply, now);
+        let last = items.iter().map(|item| item.position).max();
+        let previous = self.mark_complete(last.unwrap_or_default());
+        self.store_update(applied.changed, false, range_start(previous, applied.known))
     }
 
-    /// Applies the complete list of items that this daemon read from the store as of a revision;
+    /// Applies the complete list of items that this daemon read from the store as of a position;
     /// returns the update for the peers.
-    pub fn apply_store_list(&self, items: &[StoreItem], revision: u64) -> StoreUpdateFrame {
+    pub fn apply_store_list(
+        &self,
+        items: &[StoreItem],
+        position: StorePosition,
+    ) -> StoreUpdateFrame {
         let now = self.clock.now();
+        self.view.lock().begin_list(position);
         let apply = |entry: &VersionedEntry| self.view.lock().apply(entry, now);
-        let mut changed = self.apply_items(UpdateSource::List, items, apply, now);
+        let AppliedItems { mut changed, known } =
+            self.apply_items(UpdateSource::List, items, apply, now);
         let entries = self.decode_entries(items);
-        let removed = self.view.lock().reconcile(&entries, revision, now);
+        let removed = self.view.lock().reconcile(&entries, position, now);
         self.remove_items(&removed, now);
         changed.extend(removed.into_iter().map(|id| StoreItem {
             is_config: false,
             instance: Some(id),
-            revision,
+            position,
             value: None,
         }));
-        let mut gap = self.update_gap.lock();
-        let previous = gap.revision();
-        gap.mark_complete(revision);
-        drop(gap);
-        self.store_update(changed, false, previous)
+        let previous = self.mark_complete(position);
+        self.store_update(changed, false, range_start(previous, known))
     }
 
     /// Applies a store update received from the peer at an address.
@@ -82,43 +102,72 @@
             .since_store_recovery_ms
             .map(|ms| Duration::from_millis(ms.into()));
         let recovered_at = age.map(|age| now.checked_sub(age).unwrap_or(now));
+        if update.is_complete {
+            self.view.lock().begin_list(update.last);
+        }
         let apply =
             |entry: &VersionedEntry| self.view.lock().apply_from_peer(entry, recovered_at, now);
         self.apply_items(UpdateSource::Peer(peer), &update.items, apply, now);
         if update.is_complete {
             let entries = self.decode_entries(&update.items);
             let mut view = self.view.lock();
-            let removed =
-                view.reconcile_from_peer(&entries, update.last_revision, recovered_at, now);
+            let removed = view.reconcile_from_peer(&entries, update.last, recovered_at, now);
             drop(view);
             self.remove_items(&removed, now);
-            self.update_gap.lock().mark_complete(update.last_revision);
+            self.mark_complete(update.last);
+            self.has_peer_state.store(true, Ordering::Relaxed);
             return;
         }
         let mut gap = self.update_gap.lock();
-        gap.record_range(update.previous_revision, update.last_revision);
+        gap.record_range(update.previous, update.last);
+    }
+
+    /// Records that this daemon has all entries as of a position; returns the one before.
+    fn mark_complete(&self, position: StorePosition) -> StorePosition {
+        let mut gap = self.update_gap.lock();
+        let previous = gap.position();
+        gap.mark_complete(position);
+        drop(gap);
+        if position.era > previous.era {
+            log::warn!(
+                previous:% = previous,
+                position:% = position;
+                "store: The store came back from a copy and is in another era."
+            );
+            self.load_due.notify_one();
+        }
+        previous
     }
 
-    /// Applies items and returns those that changed the state.
+    /// Records the era of a response of the store.
+    pub fn enter_store_era(&self, era: u64) {
+        self.view.lock().enter_era(era, self.clock.now());
+    }
+
+    /// Applies items; returns those that changed the state, and up to which position others did not.
     fn apply_items(
         &self,
         source: UpdateSource,
         items: &[StoreItem],
         apply: impl Fn(&VersionedEntry) -> bool,
         now: Instant,
-    ) -> Vec<StoreItem> {
-        let changed: Vec<StoreItem> = items
-            .iter()
-            .filter(|item| self.apply_item(source, item, &apply))
-            .cloned()
-            .collect();
+    ) -> AppliedItems {
+        let mut changed = Vec::new();
+        let mut known = StorePosition::default();
+        for item in items {
+            if self.apply_item(source, item, &apply) {
+                changed.push(item.clone());
+            } else {
+                known = known.max(item.position);
+            }
+        }
         if !changed.is_empty() {
             self.metrics.count_store_update(source);
         }
         if changed.iter().any(|item| item.instance.is_some()) {
             self.update_members(now);
         }
-        changed
+        AppliedItems { changed, known }
     }
 
     fn decode_entries(&self, items: &[StoreItem]) -> Vec<VersionedEntry> {
@@ -145,7 +194,7 @@
 
     /// Returns whether entries were read from the store or received from a peer.
     pub fn has_entries(&self) -> bool {
-        self.update_gap.lock().revision() > 0
+        !self.update_gap.lock().position().is_start()
     }
 
     /// Counts a failed call to the store and records that the store is unreachable.
@@ -235,7 +284,7 @@
         let response_age = self.store_response_age();
         log::info!(
             source:% = source,
-            revision = item.revision,
+            position:% = item.position,
             response_age_ms = response_age.map(|age| age.as_millis() as u64);
             "config: Version {} with {} routes is in force.",
             version.0,
@@ -247,6 +296,7 @@
         *routes = Some(Arc::new(table));
         drop(routes);
         self.items.lock().config = Some(item.clone());
+        *self.config_source.lock() = Some(source);
         true
     }
 
@@ -260,7 +310,7 @@
         });
         Some(VersionedEntry {
             id,
-            revision: item.revision,
+            position: item.position,
             value,
         })
     }
--- /dev/null
+++ b/src/mesh/frame_additions.rs
@@ -0,0 +1,71 @@
+//! Eras of the store in messages between daemons. They follow the parts of a message that daemons of
+//! earlier builds read.
+
+use crate::{
+    common::*,
+    mesh::peer_frame::{FrameError, LoadFrame, StoreUpdateFrame},
+};
+
+/// End of a load message, after the demand.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct LoadAddition {
+    /// Whether the demand is that of a configuration with organisations.
+    has_demand: bool,
+    /// Era of the sender's position in the store.
+    era: u64,
+}
+
+impl LoadAddition {
+    /// Returns the end of a message.
+    pub fn new(load: &LoadFrame) -> Self {
+        Self {
+            has_demand: load.demand.is_some(),
+            era: load.store_status.position.era,
+        }
+    }
+
+    /// Completes a message that was just decoded.
+    pub fn apply(self, load: &mut LoadFrame) {
+        if !self.has_demand {
+            load.demand = None;
+        }
+        load.store_status.position.era = self.era;
+        load.store_status.knows_eras = true;
+    }
+}
+
+/// End of a store update. One without it is in era 0.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct UpdateEras {
+    previous: u64,
+    last: u64,
+    /// Eras of the items, in their order.
+    items: Vec<u64>,
+}
+
+impl UpdateEras {
+    /// Returns the end of an update, unless all of it is in era 0.
+    pub fn new(update: &StoreUpdateFrame) -> Option<Self> {
+        let eras = Self {
+            previous: update.previous.era,
+            last: update.last.era,
+            items: update.items.iter().map(|item| item.position.era).collect(),
+        };
+        let is_later = |era: &u64| *era > 0;
+        (is_later(&eras.previous) || is_later(&eras.last) || eras.items.iter().any(is_later))
+            .then_some(eras)
+    }
+
+    /// Completes an update that was just decoded.
+    pub fn apply(self, update: &mut StoreUpdateFrame) -> Result<(), FrameError> {
+        if self.items.len() != update.items.len() {
+            return Err(FrameError::Records(self.items.len()));
+        }
+        update.previous.era = self.previous;
+        update.last.era = self.last;
+        for (item, era) in update.items.iter_mut().zip(self.items) {
+            item.position.era = era;
+        }
+        Ok(())
+    }
+}
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -139,6 +139,7 @@
         settings.backend,
         settings.service
     );
+    state.begin_start();
     let links = PeerLinks::new(Arc::clone(&state));
     let peer_listener = PeerListener::new(Arc::clone(&state), Arc::clone(&links));
     let proxy = Arc::new(EntryProxy::new(Arc::clone(&state), Arc::clone(&links)));
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of a daemon whose routes and instances are published in a store.
 
 use crate::{
-    common::*, decision::mesh::instance_selector::LoadReport, mesh::store_contact::UpdateSource,
+    common::*,
+    decision::mesh::{instance_selector::LoadReport, store_position::StorePosition},
+    mesh::store_contact::UpdateSource,
 };
 use prometheus_client::{
     encoding::text,
@@ -53,6 +55,8 @@
     pub refused_arrivals: u64,
     /// Whether the local backend server has announced that it leaves.
     pub is_server_leaving: bool,
+    /// Position of the store up to which the daemon has all entries.
+    pub store_position: StorePosition,
     /// Panics of tasks since the start of the process, by task.
     pub task_panics: Vec<(&'static str, u64)>,
 }
@@ -91,6 +95,8 @@
     suspects: Family<Labels, Gauge>,
     refused_arrivals: Counter,
     task_panics: Family<Labels, Counter>,
+    store_era: Gauge,
+    store_revision: Gauge,
 }
 
 impl MeshMetrics {
@@ -127,6 +133,8 @@
             suspects: Family::default(),
             refused_arrivals: Counter::default(),
             task_panics: Family::default(),
+            store_era: Gauge::default(),
+            store_revision: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -256,6 +264,16 @@
                 "Version of the routes in force",
                 &self.config_version,
             ),
+            (
+                "store_era",
+                "How often the store came back from a copy, as far as known here",
+                &self.store_era,
+            ),
+            (
+                "store_revision",
+                "Revision of the store in that era up to which all entries are known",
+                &self.store_revision,
+            ),
             ("members", "Instances of all services", &self.members),
             (
                 "store_readers",
@@ -326,6 +344,8 @@
         self.queued.set(load.queued.into());
         self.limit.set(load.limit.into());
         self.config_version.set(view.config_version as i64);
+        self.store_era.set(view.store_position.era as i64);
+        self.store_revision.set(view.store_position.revision as i64);
         self.members.set(view.members as i64);
         self.server_leaving.set(view.is_server_leaving.into());
         self.published.set(view.is_published.into());
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -9,10 +9,14 @@
             load_summary::LoadSummary,
             reader_election::StoreStatus,
             server_notes::ServerNotes,
+            store_position::StorePosition,
         },
         organisation::organisation_demand::{DemandReport, MAX_DEMANDS},
     },
-    mesh::store_interface::StoreItem,
+    mesh::{
+        frame_additions::{LoadAddition, UpdateEras},
+        store_interface::StoreItem,
+    },
 };
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -22,6 +26,13 @@
 /// Class level of nested calls at the admission gate. Root requests have higher levels.
 pub const NESTED_CLASS: u8 = 0;
 
+/// Demand in the messages of a daemon without organisations. Earlier builds read one wherever a load
+/// message continues.
+static EMPTY_DEMAND: DemandReport = DemandReport {
+    is_settled: false,
+    demands: Vec::new(),
+};
+
 /// Size of the length prefix of each message.
 const LENGTH_BYTES: usize = 4;
 
@@ -80,10 +91,10 @@
     pub items: Vec<StoreItem>,
     /// Whether the items contain all entries, so that entries that are not among them were removed.
     pub is_complete: bool,
-    /// Revision up to which the sender had all entries before this update.
-    pub previous_revision: u64,
-    /// Revision up to which the sender has all entries.
-    pub last_revision: u64,
+    /// Position up to which the sender had all entries before this update.
+    pub previous: StorePosition,
+    /// Position up to which the sender has all entries.
+    pub last: StorePosition,
     /// Time since the store became reachable again for the sender, in milliseconds; 0 while it is
     /// unreachable. Set only while entries that expired during the outage may be missing.
     pub since_store_recovery_ms: Option<u32>,
@@ -254,10 +265,17 @@
             Self::Call(call) if call.caller.is_identified => {
                 postcard::to_stdvec(self).and_then(|bytes| postcard::to_extend(&call.caller, bytes))
             }
-            Self::Load(load) => postcard::to_stdvec(self).and_then(|bytes| match &load.demand {
-                Some(demand) => postcard::to_extend(demand, bytes),
-                None => Ok(bytes),
+            Self::Load(load) => postcard::to_stdvec(self).and_then(|bytes| {
+                let demand = load.demand.as_ref().unwrap_or(&EMPTY_DEMAND);
+                let bytes = postcard::to_extend(demand, bytes)?;
+                postcard::to_extend(&LoadAddition::new(load), bytes)
             }),
+            Self::StoreUpdate(update) => {
+                postcard::to_stdvec(self).and_then(|bytes| match UpdateEras::new(update) {
+                    Some(eras) => postcard::to_extend(&eras, bytes),
+                    None => Ok(bytes),
+                })
+            }
             _ => postcard::to_stdvec(self).and_then(|bytes| match self.notes() {
                 Some(notes) => postcard::to_extend(notes, bytes),
                 None => Ok(bytes),
@@ -303,10 +321,20 @@
             }
             Self::Load(mut load) => {
                 if let Some(load) = Arc::get_mut(&mut load) {
-                    load.demand = Some(decode_demand(appended)?);
+                    let (demand, appended) = decode_demand(appended)?;
+                    load.demand = Some(demand);
+                    if !appended.is_empty() {
+                        postcard::from_bytes::<LoadAddition>(appended)?.apply(load);
+                    }
                 }
                 Self::Load(load)
             }
+            Self::StoreUpdate(mut update) => {
+                if let Some(update) = Arc::get_mut(&mut update) {
+                    postcard::from_bytes::<UpdateEras>(appended)?.apply(update)?;
+                }
+                Self::StoreUpdate(update)
+            }
             frame => frame,
         }))
     }
@@ -331,12 +359,13 @@
     }
 }
 
-fn decode_demand(bytes: &[u8]) -> Result<DemandReport, FrameError> {
-    let report: DemandReport = postcard::from_bytes(bytes)?;
+/// Decodes the demand that is appended to a load message; returns what follows it as well.
+fn decode_demand(bytes: &[u8]) -> Result<(DemandReport, &[u8]), FrameError> {
+    let (report, rest) = postcard::take_from_bytes::<DemandReport>(bytes)?;
     if report.demands.len() > MAX_DEMANDS {
         return Err(FrameError::Records(report.demands.len()));
     }
-    Ok(report)
+    Ok((report, rest))
 }
 
 fn decode_records(bytes: &[u8]) -> Result<Vec<SuspectRecord>, FrameError> {
--- a/src/mesh/peer_links.rs
+++ b/src/mesh/peer_links.rs
@@ -85,7 +85,7 @@
     /// soon as this daemon has read it, unless too many peers wait.
     pub fn state_for(&self, sender: u64) -> Option<PeerFrame> {
         let mut awaiting = self.awaiting_state.lock();
-        if self.state.has_entries() {
+        if self.state.has_entries() && !self.state.is_starting() {
             return Some(PeerFrame::StoreUpdate(Arc::new(
                 self.state.full_store_state(),
             )));
@@ -172,6 +172,11 @@
         selector.record_peer_notes(address.ip(), &hello.notes);
         drop(selector);
         self.send_missing_state(address, hello);
+        if self.state.record_handshake(address.ip(), hello)
+            && let Some(link) = self.link(address)
+        {
+            link.send(PeerFrame::FetchStoreState);
+        }
         let suspects = self.state.suspects.known_suspects();
         if !suspects.is_empty()
             && let Some(link) = self.link(address)
--- a/src/mesh/store_client.rs
+++ b/src/mesh/store_client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     common::*,
-    decision::mesh::response_limit::MAX_RESPONSE_LIMIT,
+    decision::mesh::{response_limit::MAX_RESPONSE_LIMIT, store_position::StorePosition},
     http1::{
         client_connection::{BodyLimits, ClientConnection, ExchangeError},
         message_head::ResponseHead,
@@ -37,6 +37,14 @@
     /// The body of the response could not be decoded.
     #[error("Cannot decode the response of the store. {0}")]
     Format(#[from] StoreFormatError),
+    /// The response belongs to another era than the one before it.
+    #[error("The store is in era {era} instead of {expected}.")]
+    Era {
+        /// Era that the response states.
+        era: u64,
+        /// Era of the position from which the store was read.
+        expected: u64,
+    },
 }
 
 /// Client of the store that keeps one connection open.
@@ -44,6 +52,8 @@
     address: SocketAddr,
     format: Arc<dyn StoreFormat>,
     connection: Option<ClientConnection>,
+    /// Era of the last response.
+    era: Option<u64>,
 }
 
 impl StoreClient {
@@ -53,29 +63,43 @@
             address,
             format,
             connection: None,
+            era: None,
         }
     }
 
+    /// Returns the era that the last response of any status stated.
+    pub fn era(&self) -> Option<u64> {
+        self.era
+    }
+
     /// Reads one page of all items.
     pub async fn read_page(&mut self, after: Option<&str>) -> Result<StorePage, StoreError> {
         let target = self.format.range_target(after);
-        let body = self.get(&target, MAX_RESPONSE_LIMIT).await?;
-        Ok(self.format.decode_page(&body)?)
+        let (era, body) = self.get(&target, MAX_RESPONSE_LIMIT).await?;
+        Ok(self.format.decode_page(era, &body)?)
     }
 
-    /// Waits up to `wait` for changes after a revision. The response may take `limit` longer.
+    /// Waits up to `wait` for changes after a position. The response may take `limit` longer.
     pub async fn watch(
         &mut self,
-        after: u64,
+        after: StorePosition,
         wait: Duration,
         limit: Duration,
     ) -> Result<StoreChanges, StoreError> {
         let target = self.format.watch_target(after, wait);
-        let body = self.get(&target, wait + limit).await?;
-        Ok(self.format.decode_watch(&body)?)
+        let (era, body) = self.get(&target, wait + limit).await?;
+        if era != after.era {
+            // Its changes follow a revision that may have been given out again.
+            return Err(StoreError::Era {
+                era,
+                expected: after.era,
+            });
+        }
+        Ok(self.format.decode_watch(era, &body)?)
     }
 
-    async fn get(&mut self, target: &str, limit: Duration) -> Result<Bytes, StoreError> {
+    /// Returns the era and the body of a successful response.
+    async fn get(&mut self, target: &str, limit: Duration) -> Result<(u64, Bytes), StoreError> {
         // The connection is put back only after a complete response, so that one whose call failed
         // or was cancelled is not used again.
         let idle = self.connection.take().filter(ClientConnection::is_idle);
@@ -95,9 +119,11 @@
         if response.is_reusable {
             self.connection = Some(connection);
         }
+        let era = self.format.decode_era(&response.head.headers)?;
+        self.era = Some(era);
         if response.head.status != 200 {
             return Err(StoreError::Status(response.head.status));
         }
-        Ok(response.body)
+        Ok((era, response.body))
     }
 }
--- a/src/mesh/store_interface.rs
+++ b/src/mesh/store_interface.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::mesh::{fleet_view::BackendEntry, route_table::RouteTable},
+    decision::mesh::{
+        fleet_view::BackendEntry, route_table::RouteTable, store_position::StorePosition,
+    },
+    http1::header_list::HeaderList,
 };
 use bytes::Bytes;
 
@@ -13,8 +16,8 @@
     pub is_config: bool,
     /// Instance id, if the value is the entry of a backend server.
     pub instance: Option<SmolStr>,
-    /// Revision of the store at which the value was last changed.
-    pub revision: u64,
+    /// Position of the store at which the value was last changed.
+    pub position: StorePosition,
     /// Encoded value; `None` if it was removed.
     pub value: Option<Bytes>,
 }
@@ -28,8 +31,8 @@
     pub last_key: Option<SmolStr>,
     /// Whether another page follows.
     pub has_more: bool,
-    /// Revision of the store at the time of the response.
-    pub revision: u64,
+    /// Position of the store at the time of the response.
+    pub position: StorePosition,
 }
 
 /// Changes of any items.
@@ -37,8 +40,8 @@
 pub struct StoreChanges {
     /// Changed items.
     pub items: Vec<StoreItem>,
-    /// Revision after which the next watch continues.
-    pub revision: u64,
+    /// Position after which the next watch continues.
+    pub position: StorePosition,
 }
 
 /// A value or a response of the store could not be decoded.
@@ -50,12 +53,14 @@
 pub trait StoreFormat: Send + Sync {
     /// Returns the request target that reads one page of all items.
     fn range_target(&self, after: Option<&str>) -> String;
-    /// Returns the request target that waits for changes after a revision.
-    fn watch_target(&self, after: u64, wait: Duration) -> String;
-    /// Decodes the response to the read of a page.
-    fn decode_page(&self, bytes: &[u8]) -> Result<StorePage, StoreFormatError>;
-    /// Decodes the response to a watch.
-    fn decode_watch(&self, bytes: &[u8]) -> Result<StoreChanges, StoreFormatError>;
+    /// Returns the request target that waits for changes after a position.
+    fn watch_target(&self, after: StorePosition, wait: Duration) -> String;
+    /// Decodes the era that a response of any status states, 0 if it states none.
+    fn decode_era(&self, headers: &HeaderList) -> Result<u64, StoreFormatError>;
+    /// Decodes the response to the read of a page in an era.
+    fn decode_page(&self, era: u64, bytes: &[u8]) -> Result<StorePage, StoreFormatError>;
+    /// Decodes the response to a watch in an era.
+    fn decode_watch(&self, era: u64, bytes: &[u8]) -> Result<StoreChanges, StoreFormatError>;
     /// Decodes a route configuration.
     fn decode_config(&self, bytes: &[u8]) -> Result<RouteTable, StoreFormatError>;
     /// Decodes the entry of a backend server.
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::mesh::response_limit::{ResponseLimit, WATCH_TIMEOUT},
+    decision::mesh::{
+        response_limit::{ResponseLimit, WATCH_TIMEOUT},
+        store_position::StorePosition,
+    },
     mesh::{
         fleet_state::FleetState,
         peer_links::PeerLinks,
@@ -82,78 +85,93 @@
 
     async fn read_and_watch(&mut self) {
         let mut failures = 0;
-        let mut revision = None;
+        let mut position = None;
         loop {
-            let result = match revision {
+            let result = match position {
                 None => self.read_all().await,
-                Some(revision) => self.watch(revision).await,
+                Some(position) => self.watch(position).await,
             };
+            self.enter_era();
             match result {
                 Ok(next) => {
                     if failures > 0 {
                         log::info!("store: Reading succeeded again.");
                     }
                     failures = 0;
-                    revision = Some(next);
+                    position = Some(next);
                     self.state.record_store_response();
                 }
                 Err(error) => {
-                    let is_watch = revision.is_some();
-                    // Only a complete list shows which entries expired during an outage.
-                    revision = None;
-                    let is_gone = matches!(error, StoreError::Status(STATUS_GONE));
-                    // Whether the store or only the connection is silent shows on a new one.
-                    let is_overdue = is_watch && matches!(error, StoreError::Timeout);
-                    if is_gone || is_overdue {
-                        log::info!("store: Reading all items again. {error}");
-                        continue;
-                    }
-                    if failures == 0 {
-                        log::info!("store: Cannot read. {error}");
+                    let is_watch = position.is_some();
+                    // Only a complete list shows which entries expired during an outage, and what a
+                    // store has that came back from a copy.
+                    position = None;
+                    match list_delay(&error, is_watch) {
+                        Some(delay) => {
+                            log::info!("store: Reading all items again. {error}");
+                            tokio::time::sleep(delay).await;
+                        }
+                        None => {
+                            if failures == 0 {
+                                log::info!("store: Cannot read. {error}");
+                            }
+                            self.state.record_store_failure();
+                            tokio::time::sleep(self.backoff(failures)).await;
+                            failures += 1;
+                        }
                     }
-                    self.state.record_store_failure();
-                    tokio::time::sleep(self.backoff(failures)).await;
-                    failures += 1;
                 }
             }
         }
     }
 
-    async fn read_all(&mut self) -> Result<u64, StoreError> {
+    /// Applies the era of the last response.
+    fn enter_era(&self) {
+        if let Some(era) = self.client.era() {
+            self.state.enter_store_era(era);
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<StorePosition, StoreError> {
         let mut items: Vec<StoreItem> = Vec::new();
-        let mut revision = None;
+        let mut position = None;
         let mut after: Option<SmolStr> = None;
         loop {
             let sent_at = self.state.clock.now();
             let page = self.client.read_page(after.as_deref()).await?;
             self.record_response_time(sent_at);
+            self.enter_era();
             // The following watch returns the changes that were made after the first page was read.
-            let revision = *revision.get_or_insert(page.revision);
+            let position = *position.get_or_insert(page.position);
+            if page.position.era != position.era {
+                return Err(StoreError::Era {
+                    era: page.position.era,
+                    expected: position.era,
+                });
+            }
             items.extend(page.items);
             if page.has_more && page.last_key.is_some() {
                 after = page.last_key;
                 continue;
             }
-            // The first values are sent only to the peers that requested them: the others have
-            // values already, or request them from another daemon.
+            // The first values are sent only to the peers that requested them, once the start is
+            // complete: the others have values already, or request them from another daemon.
             let is_first = !self.state.has_entries();
-            let update = self.state.apply_store_list(&items, revision);
-            if is_first {
-                self.links.send_awaited_state();
-            } else {
+            let update = self.state.apply_store_list(&items, position);
+            if !is_first {
                 self.links.broadcast_update(update);
             }
-            return Ok(revision);
+            return Ok(position);
         }
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
+    async fn watch(&mut self, position: StorePosition) -> Result<StorePosition, StoreError> {
         let sent_at = self.state.clock.now();
         let limit = self.response_limit.limit();
-        let changes = self.client.watch(revision, WATCH_TIMEOUT, limit).await?;
+        let changes = self.client.watch(position, WATCH_TIMEOUT, limit).await?;
         if changes.items.is_empty() {
             self.record_response_time(sent_at + WATCH_TIMEOUT);
-            return Ok(changes.revision);
+            return Ok(changes.position);
         }
         let update = self
             .state
@@ -161,7 +179,7 @@
         self.links.broadcast_update(update);
         // The next watch returns further changes together.
         tokio::time::sleep(BATCH_DELAY).await;
-        Ok(changes.revision)
+        Ok(changes.position)
     }
 
     /// Records the time of a response that the store could send from `due_at` on.
@@ -181,3 +199,17 @@
         backoff.mul_f64(0.5 + rand::random::<f64>())
     }
 }
+
+/// Returns the delay before all items are read again after an error that does not show that the store
+/// is unreachable.
+fn list_delay(error: &StoreError, is_watch: bool) -> Option<Duration> {
+    match error {
+        StoreError::Status(STATUS_GONE) => Some(Duration::ZERO),
+        // Whether the store or only the connection is silent shows on a new one.
+        StoreError::Timeout if is_watch => Some(Duration::ZERO),
+        // A response of an earlier era is late and changes nothing.
+        StoreError::Era { era, expected } if era < expected => Some(INITIAL_BACKOFF),
+        StoreError::Era { .. } => Some(Duration::ZERO),
+        _ => None,
+    }
+}
--- a/src/mesh/task_names.rs
+++ b/src/mesh/task_names.rs
@@ -24,8 +24,8 @@
 pub const LOAD_SENDER: TaskName = TaskName::essential("load_sender");
 /// Reloads the settings.
 pub const SETTINGS_RELOAD: TaskName = TaskName::auxiliary("settings_reload");
-/// Requests the first store state from the seeds.
-pub const START_SYNC: TaskName = TaskName::auxiliary("start_sync");
+/// Gets the first state before the daemon serves.
+pub const START_SYNC: TaskName = TaskName::essential("start_sync");
 /// Serves one connection of a peer.
 pub const PEER_CONNECTION: TaskName = TaskName::auxiliary("peer_connection");
 /// Drives the link to one peer.
--- a/src/platform/entry_document.rs
+++ b/src/platform/entry_document.rs
@@ -29,9 +29,8 @@
     slots: u32,
     state: SmolStr,
     cold_remaining_s: f64,
-    // Counts the writes since the start of the backend server. Only its presence is checked.
-    #[serde(rename = "sequence")]
-    _sequence: u64,
+    // Counts the writes since the start of the backend server.
+    sequence: u64,
     #[serde(default)]
     born: Option<u64>,
 }
@@ -54,5 +53,6 @@
         state,
         remaining_warm_up,
         started_ms: document.born,
+        sequence: document.sequence,
     })
 }
--- a/src/platform/store_format.rs
+++ b/src/platform/store_format.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     common::*,
-    decision::mesh::{fleet_view::BackendEntry, route_table::RouteTable},
+    decision::mesh::{
+        fleet_view::BackendEntry, route_table::RouteTable, store_position::StorePosition,
+    },
+    http1::header_list::HeaderList,
     mesh::store_interface::{StoreChanges, StoreFormat, StoreFormatError, StoreItem, StorePage},
     platform::{config_document, entry_document},
 };
@@ -17,6 +20,9 @@
 /// Prefix of the entries of backend servers.
 const ENTRY_PREFIX: &str = "servers/";
 
+/// Header of all responses that counts how often the store came back from a copy.
+const ERA_HEADER: &str = "Store-Era";
+
 /// Format of the platform's store.
 #[derive(Clone, Copy, Debug)]
 pub struct PlatformStore;
@@ -58,26 +64,52 @@
         }
     }
 
-    fn watch_target(&self, after: u64, wait: Duration) -> String {
-        let wait = wait.as_millis();
+    fn watch_target(&self, after: StorePosition, wait: Duration) -> String {
+        let (after, wait) = (after.revision, wait.as_millis());
         format!("/kv-watch?prefix={ALL_KEYS}&after={after}&wait-ms={wait}")
     }
 
-    fn decode_page(&self, bytes: &[u8]) -> Result<StorePage, StoreFormatError> {
+    fn decode_era(&self, headers: &HeaderList) -> Result<u64, StoreFormatError> {
+        let mut values = headers.all(ERA_HEADER);
+        let Some(value) = values.next() else {
+            return Ok(0);
+        };
+        let text = std::str::from_utf8(value).unwrap_or_default().trim();
+        // The parser also accepts a sign.
+        let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+        let era = text.parse().ok().filter(|_| is_number);
+        era.filter(|_| values.next().is_none()).ok_or_else(|| {
+            format_error(format_args!(
+                "The era `{}` is invalid.",
+                value.escape_ascii()
+            ))
+        })
+    }
+
+    fn decode_page(&self, era: u64, bytes: &[u8]) -> Result<StorePage, StoreFormatError> {
         let document: RangeDocument = serde_json::from_slice(bytes).map_err(format_error)?;
+        let items = document.items.into_iter();
+        let last_key = items.as_slice().last().map(|item| item.key.clone());
         Ok(StorePage {
-            last_key: document.items.last().map(|item| item.key.clone()),
-            items: document.items.into_iter().map(decode_item).collect(),
+            last_key,
+            items: items.map(|item| decode_item(era, item)).collect(),
             has_more: document.has_more,
-            revision: document.as_of,
+            position: StorePosition {
+                era,
+                revision: document.as_of,
+            },
         })
     }
 
-    fn decode_watch(&self, bytes: &[u8]) -> Result<StoreChanges, StoreFormatError> {
+    fn decode_watch(&self, era: u64, bytes: &[u8]) -> Result<StoreChanges, StoreFormatError> {
         let document: WatchDocument = serde_json::from_slice(bytes).map_err(format_error)?;
+        let events = document.events.into_iter();
         Ok(StoreChanges {
-            items: document.events.into_iter().map(decode_item).collect(),
-            revision: document.as_of,
+            items: events.map(|item| decode_item(era, item)).collect(),
+            position: StorePosition {
+                era,
+                revision: document.as_of,
+            },
         })
     }
 
@@ -94,7 +126,7 @@
     StoreFormatError(error.to_string().into())
 }
 
-fn decode_item(item: ItemDocument) -> StoreItem {
+fn decode_item(era: u64, item: ItemDocument) -> StoreItem {
     let value = item.value.filter(|_| !item.tombstone).map(|text| {
         // Invalid base64 becomes an empty value, which the decoder of the value rejects as well.
         let bytes = STANDARD.decode(&text).unwrap_or_default();
@@ -104,7 +136,10 @@
     StoreItem {
         is_config: item.key == CONFIG_KEY,
         instance,
-        revision: item.revision,
+        position: StorePosition {
+            era,
+            revision: item.revision,
+        },
         value,
     }
 }
--- a/tests/mesh/decoders.rs
+++ b/tests/mesh/decoders.rs
@@ -3,7 +3,9 @@
 use crate::fixed_seeds;
 use bytes::BytesMut;
 use skylarkstream::{
-    decision::mesh::{fleet_view::ServingState, route_table::RunSemantics},
+    decision::mesh::{
+        fleet_view::ServingState, route_table::RunSemantics, store_position::StorePosition,
+    },
     mesh::{
         executor::gate_limits, mesh_settings::MeshSettings, peer_frame::PeerFrame,
         store_interface::StoreFormat,
@@ -141,15 +143,18 @@
 fn pages_and_changes_are_decoded() {
     let page = br#"{"items":[{"key":"servers/i-1","value":"eyJ9","revision":5,"created":1,
         "lease":3},{"key":"op/config","value":"!","revision":6}],"has-more":true,"as-of":9}"#;
-    let page = PlatformStore.decode_page(page).expect("a page");
+    let page = PlatformStore.decode_page(3, page).expect("a page");
     assert_eq!(page.items[0].instance.as_deref(), Some("i-1"));
     assert!(page.items[1].is_config);
     assert!(page.has_more);
-    assert_eq!(page.revision, 9);
+    let position = |revision| StorePosition { era: 3, revision };
+    assert_eq!(page.position, position(9));
+    assert_eq!(page.items[0].position, position(5));
     assert_eq!(page.last_key.as_deref(), Some("op/config"));
     let watch = br#"{"events":[{"key":"servers/i-1","revision":7,"tombstone":true}],"as-of":9}"#;
-    let watch = PlatformStore.decode_watch(watch).expect("changes");
+    let watch = PlatformStore.decode_watch(3, watch).expect("changes");
     assert_eq!(watch.items[0].value, None);
+    assert_eq!(watch.items[0].position, position(7));
     let target = PlatformStore.range_target(Some("servers/a b"));
     assert_eq!(target, "/kv-range?prefix=&after=servers%2Fa%20b");
 }
@@ -161,7 +166,7 @@
         let bytes: Vec<u8> = random.arbitrary()?;
         let _ = PlatformStore.decode_config(&bytes);
         let _ = PlatformStore.decode_entry(&bytes);
-        let _ = PlatformStore.decode_page(&bytes);
+        let _ = PlatformStore.decode_page(0, &bytes);
         let _ = MeshSettings::from_bytes(&bytes);
         let mut framed = BytesMut::from(&(bytes.len() as u32).to_be_bytes()[..]);
         framed.extend_from_slice(&bytes);
--- a/tests/mesh/fleet_view.rs
+++ b/tests/mesh/fleet_view.rs
@@ -3,7 +3,10 @@
 use crate::fixed_seeds;
 use skylarkstream::decision::{
     clock::{Clock, ManualClock},
-    mesh::fleet_view::{BackendEntry, EXPIRY_GRACE, FleetView, ServingState, VersionedEntry},
+    mesh::{
+        fleet_view::{BackendEntry, EXPIRY_GRACE, FleetView, ServingState, VersionedEntry},
+        store_position::StorePosition,
+    },
 };
 use std::{collections::BTreeSet, time::Duration};
 
@@ -16,13 +19,19 @@
         state,
         remaining_warm_up: Duration::ZERO,
         started_ms: Some(1),
+        sequence: 1,
     }
 }
 
+/// Returns a position in the first era.
+pub fn position(revision: u64) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
 fn versioned(id: &str, revision: u64, state: Option<ServingState>) -> VersionedEntry {
     VersionedEntry {
         id: id.into(),
-        revision,
+        position: position(revision),
         value: state.map(|state| entry("s", "127.0.0.1:80", state)),
     }
 }
@@ -81,7 +90,7 @@
     view.drop_removed(clock.now());
     assert_eq!(member_ids(&view).len(), 2);
     view.mark_store_reachable(clock.now());
-    view.reconcile(&[], 5, clock.now());
+    view.reconcile(&[], position(5), clock.now());
     view.drop_removed(clock.now());
     assert_eq!(member_ids(&view).len(), 2);
     view.apply(&versioned("a", 6, Some(ServingState::Ready)), clock.now());
--- a/tests/mesh/instance_selector.rs
+++ b/tests/mesh/instance_selector.rs
@@ -1,6 +1,6 @@
 //! Instance selection under load and faults.
 
-use crate::fleet_view::entry;
+use crate::fleet_view::{entry, position};
 use skylarkstream::decision::{
     clock::{Clock, ManualClock},
     mesh::{
@@ -30,7 +30,7 @@
             let address = format!("10.0.0.{number}:80");
             let versioned_entry = VersionedEntry {
                 id: format!("i-{number}").into(),
-                revision: number as u64,
+                position: position(number as u64),
                 value: Some(entry(SERVICE, &address, ServingState::Ready)),
             };
             view.apply(&versioned_entry, clock.now());
@@ -223,7 +223,7 @@
     restarted.started_ms = Some(2);
     let versioned_entry = VersionedEntry {
         id: "i-1".into(),
-        revision: 9,
+        position: position(9),
         value: Some(restarted),
     };
     let now = scenario.clock.now();
@@ -248,7 +248,7 @@
         let mut scenario = Scenario::new(2);
         let remote = VersionedEntry {
             id: "i-2".into(),
-            revision: 3,
+            position: position(3),
             value: Some(BackendEntry {
                 data_centre: "dc-2".into(),
                 ..entry(SERVICE, "10.0.0.2:80", ServingState::Ready)
--- a/tests/mesh/leaving_servers.rs
+++ b/tests/mesh/leaving_servers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     end_to_end::{Fleet, send_requests},
-    fleet_view::entry,
+    fleet_view::{entry, position},
 };
 use bytes::BytesMut;
 use skylarkstream::{
@@ -60,7 +60,7 @@
         };
         let versioned_entry = VersionedEntry {
             id: "i-1".into(),
-            revision,
+            position: position(revision),
             value: Some(value),
         };
         view.apply(&versioned_entry, clock.now());
@@ -108,7 +108,7 @@
     let mut view = FleetView::new();
     let versioned_entry = VersionedEntry {
         id: "i-1".into(),
-        revision: 1,
+        position: position(1),
         value: Some(entry("s", "10.0.0.1:80", ServingState::Ready)),
     };
     view.apply(&versioned_entry, clock.now());
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -26,6 +26,7 @@
 mod organisations;
 mod peer_link;
 mod reader_election;
+mod restored_store;
 mod route_table;
 mod run_table;
 mod shutdown_wait;
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -1,10 +1,14 @@
 //! Links between daemons through a proxy that resets or silences connections.
 
+use crate::fleet_view::position;
 use crate::stand_ins::{BackendStandIn, Behaviour, RefusalStyle, free_port, loopback};
 use bytes::{Bytes, BytesMut};
 use skylarkstream::{
     controller::task_supervisor::TaskSupervisor,
-    decision::clock::{Clock, ManualClock, SystemClock},
+    decision::{
+        clock::{Clock, ManualClock, SystemClock},
+        mesh::store_position::StorePosition,
+    },
     mesh::{
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
@@ -46,8 +50,8 @@
 struct FrameObserver {
     /// Ids of the daemons whose load the peer sent.
     loads: watch::Sender<Vec<u64>>,
-    /// Last revisions of the store updates.
-    updates: watch::Sender<Vec<u64>>,
+    /// Last positions of the store updates.
+    updates: watch::Sender<Vec<StorePosition>>,
 }
 
 impl LinkObserver for FrameObserver {
@@ -57,7 +61,7 @@
 
     fn on_store_update(&self, _: SocketAddr, update: &StoreUpdateFrame) {
         self.updates
-            .send_modify(|revisions| revisions.push(update.last_revision));
+            .send_modify(|positions| positions.push(update.last));
     }
 
     fn on_silence(&self, _: SocketAddr) {}
@@ -287,17 +291,17 @@
         items: vec![StoreItem {
             is_config: true,
             instance: None,
-            revision: 7,
+            position: position(7),
             value: None,
         }],
         is_complete: false,
-        previous_revision: 0,
-        last_revision: 7,
+        previous: position(0),
+        last: position(7),
         since_store_recovery_ms: None,
     };
     scenario.links.broadcast_update(update);
     let mut updates = scenario.observer.updates.subscribe();
-    let received = updates.wait_for(|revisions| !revisions.is_empty());
+    let received = updates.wait_for(|positions| !positions.is_empty());
     let received = timeout(TEST_TIMEOUT, received).await;
     assert!(received.is_ok(), "no update was received");
 }
--- a/tests/mesh/reader_election.rs
+++ b/tests/mesh/reader_election.rs
@@ -1,6 +1,6 @@
 //! Reader election, and how the other daemons receive store updates.
 
-use crate::fleet_view::entry;
+use crate::fleet_view::{entry, position};
 use skylarkstream::decision::{
     clock::{Clock, ManualClock},
     mesh::{
@@ -8,6 +8,7 @@
         reader_election::{
             ReaderElection, STORE_READERS_PER_DATA_CENTRE, StartProgress, StoreStatus,
         },
+        store_position::StorePosition,
         update_gap::UpdateGap,
     },
 };
@@ -90,8 +91,9 @@
                     let status = StoreStatus {
                         data_centre: daemon.data_centre.into(),
                         is_reading: daemon.election.is_reading() && daemon.has_store,
-                        entries_revision: 0,
+                        position: StorePosition::default(),
                         config_version: 0,
+                        knows_eras: true,
                     };
                     (daemon.id, status)
                 })
@@ -212,21 +214,21 @@
 fn lost_updates_are_requested() {
     let clock = ManualClock::new();
     let mut gap = UpdateGap::default();
-    gap.mark_complete(10);
-    gap.record_range(10, 12);
-    assert_eq!(gap.revision(), 12);
+    gap.mark_complete(position(10));
+    gap.record_range(position(10), position(12));
+    assert_eq!(gap.position(), position(12));
     // The updates up to 14 were lost, so the update from 14 to 15 does not close the gap.
-    gap.record_range(14, 15);
-    assert_eq!(gap.revision(), 12);
-    assert!(!gap.needs_full_sync(15, false, clock.now()));
+    gap.record_range(position(14), position(15));
+    assert_eq!(gap.position(), position(12));
+    assert!(!gap.needs_full_sync(position(15), false, clock.now()));
     clock.advance(Duration::from_millis(300));
-    assert!(gap.needs_full_sync(15, false, clock.now()));
+    assert!(gap.needs_full_sync(position(15), false, clock.now()));
     assert!(
-        !gap.needs_full_sync(15, false, clock.now()),
+        !gap.needs_full_sync(position(15), false, clock.now()),
         "requested twice"
     );
-    gap.mark_complete(15);
-    assert!(!gap.needs_full_sync(15, false, clock.now()));
+    gap.mark_complete(position(15));
+    assert!(!gap.needs_full_sync(position(15), false, clock.now()));
 }
 
 /// Guards against a daemon that starts while the store is unreachable and waits for updates that no
@@ -235,8 +237,11 @@
 fn daemon_without_entries_requests_them_at_once() {
     let now = ManualClock::new().now();
     let mut gap = UpdateGap::default();
-    assert!(gap.needs_full_sync(15, true, now));
-    assert!(!gap.needs_full_sync(15, true, now), "requested twice");
+    assert!(gap.needs_full_sync(position(15), true, now));
+    assert!(
+        !gap.needs_full_sync(position(15), true, now),
+        "requested twice"
+    );
 }
 
 /// Guards against requests for updates that a peer has just sent, and against a configuration that
@@ -245,20 +250,20 @@
 fn updates_in_transit_are_not_requested() {
     let clock = ManualClock::new();
     let mut gap = UpdateGap::default();
-    gap.mark_complete(10);
-    assert!(!gap.needs_full_sync(11, false, clock.now()));
-    gap.record_range(10, 11);
+    gap.mark_complete(position(10));
+    assert!(!gap.needs_full_sync(position(11), false, clock.now()));
+    gap.record_range(position(10), position(11));
     clock.advance(Duration::from_secs(1));
-    assert!(!gap.needs_full_sync(11, false, clock.now()));
-    assert!(!gap.needs_full_sync(11, true, clock.now()));
+    assert!(!gap.needs_full_sync(position(11), false, clock.now()));
+    assert!(!gap.needs_full_sync(position(11), true, clock.now()));
     clock.advance(Duration::from_millis(300));
-    assert!(gap.needs_full_sync(11, true, clock.now()));
+    assert!(gap.needs_full_sync(position(11), true, clock.now()));
 }
 
 fn ready(id: &str, revision: u64) -> VersionedEntry {
     VersionedEntry {
         id: id.into(),
-        revision,
+        position: position(revision),
         value: Some(entry("s", "127.0.0.1:80", ServingState::Ready)),
     }
 }
@@ -266,7 +271,7 @@
 fn removed(id: &str, revision: u64) -> VersionedEntry {
     VersionedEntry {
         id: id.into(),
-        revision,
+        position: position(revision),
         value: None,
     }
 }
@@ -293,7 +298,7 @@
     view.apply(&ready("a", 1), clock.now());
     view.apply(&ready("b", 2), clock.now());
     let recovered_at = Some(clock.now());
-    let removed = view.reconcile_from_peer(&[], 5, recovered_at, clock.now());
+    let removed = view.reconcile_from_peer(&[], position(5), recovered_at, clock.now());
     assert_eq!(removed.len(), 2);
     view.drop_removed(clock.now());
     assert_eq!(view.members().count(), 2);
--- a/tests/mesh/start_sync.rs
+++ b/tests/mesh/start_sync.rs
@@ -2,7 +2,7 @@
 
 use crate::stand_ins::config;
 use skylarkstream::{
-    decision::clock::ManualClock,
+    decision::{clock::ManualClock, mesh::store_position::StorePosition},
     mesh::{
         fleet_state::FleetState,
         mesh_settings::MeshSettings,
@@ -15,8 +15,11 @@
 use std::{net::IpAddr, sync::Arc};
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 
-/// Revision of the store in these tests.
-const REVISION: u64 = 7;
+/// Position of the store in these tests.
+const POSITION: StorePosition = StorePosition {
+    era: 0,
+    revision: 7,
+};
 
 fn settings(number: u8, seeds: &str) -> MeshSettings {
     let text = format!(
@@ -59,10 +62,10 @@
     let item = StoreItem {
         is_config: true,
         instance: None,
-        revision: REVISION,
+        position: POSITION,
         value: Some(config(1).into()),
     };
-    state.apply_store_list(&[item], REVISION);
+    state.apply_store_list(&[item], POSITION);
 }
 
 /// Guards against daemons of a fleet that starts at once and that read the store, because the seed
@@ -78,7 +81,7 @@
         panic!("no store state");
     };
     assert!(update.is_complete);
-    assert_eq!(update.last_revision, REVISION);
+    assert_eq!(update.last, POSITION);
     assert_eq!(update.items.len(), 1);
     links.send_awaited_state();
     assert!(inbox.try_recv().is_err(), "sent twice");
@@ -97,7 +100,7 @@
     peer.apply_update_from_peer(IpAddr::from([127, 0, 0, 1]), &update);
     assert!(peer.has_entries());
     assert_eq!(peer.routes().expect("routes").version().0, 1);
-    assert_eq!(peer.store_status().entries_revision, REVISION);
+    assert_eq!(peer.store_status().position, POSITION);
 }
 
 /// Guards against a fleet in which the seeds wait for each other.
