Let the store of the soak come back from older copies

A new check: an instance whose departure was known everywhere gets no runs again, whatever the store does later.

--- a/tests/soak/fault_plan.rs
+++ b/tests/soak/fault_plan.rs
@@ -1,6 +1,8 @@
 //! Faults that a round injects, generated from its seed.
 
-use crate::{backend::BackendMode, link_proxy::LinkMode, store::EndpointMode};
+use crate::{
+    backend::BackendMode, link_proxy::LinkMode, store::EndpointMode, store_drill::StoreDrill,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -17,6 +19,9 @@
 /// sender, while backend servers take long.
 const LONG_LOSS_SEED: u64 = 1_001;
 
+/// First of the seeds of rounds in which the store comes back from older copies.
+const RESTORED_STORE_SEED: u64 = 2_001;
+
 /// Longest time from a configuration change to the silence of the connections that follows it.
 const BEFORE_SILENCE: Duration = Duration::from_millis(100);
 
@@ -40,6 +45,8 @@
     ExpireEntries,
     /// The store discards its old revisions.
     Compact,
+    /// The store comes back from an older copy.
+    RestoreStore(StoreDrill),
     /// A process is suspended.
     Pause { machine: usize },
     /// A process is killed and restarted.
@@ -88,6 +95,9 @@
     groups: usize,
 ) -> Vec<TimedFault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    if seed >= RESTORED_STORE_SEED {
+        return restored_stores(&mut rng, round_duration, machines, groups);
+    }
     if seed >= LONG_LOSS_SEED {
         return long_losses(&mut rng, round_duration, machines);
     }
@@ -179,6 +189,52 @@
     faults
 }
 
+/// Generates rounds in which the store comes back from older copies, and backend servers leave. Every
+/// second round has other faults as well, and the others have calm times in which the drains are checked.
+fn restored_stores(
+    rng: &mut Pcg64Mcg,
+    round_duration: Duration,
+    machines: usize,
+    groups: usize,
+) -> Vec<TimedFault> {
+    let has_other_faults = rng.random_bool(0.5);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(300);
+    while at < round_duration {
+        let (machine, delay_ms) = (rng.random_range(0..machines), rng.random_range(0..900));
+        let drain = Fault::Drain { machine };
+        let drill = Fault::RestoreStore(StoreDrill::generate(rng));
+        let changes = [
+            (0, Fault::ConfigChange),
+            (400, drain),
+            (3_000, Fault::ConfigChange),
+            (3_500 + delay_ms, drill),
+            (3_600, Fault::ConfigChange),
+        ];
+        for (offset_ms, fault) in changes {
+            faults.push(TimedFault {
+                at: at + Duration::from_millis(offset_ms),
+                duration: Duration::from_millis(rng.random_range(50..1_200)),
+                fault,
+            });
+        }
+        if has_other_faults {
+            let faults_beside = [
+                Fault::SilentConnections,
+                random_fault(rng, machines, groups),
+                random_fault(rng, machines, groups),
+            ];
+            faults.extend(faults_beside.map(|fault| TimedFault {
+                at: at + Duration::from_millis(rng.random_range(2_500..6_000)),
+                duration: Duration::from_millis(rng.random_range(50..2_000)),
+                fault,
+            }));
+        }
+        at += Duration::from_millis(10_000);
+    }
+    faults
+}
+
 /// Generates rounds whose connections go silent, with configuration changes shortly before and after.
 fn silent_connections(rng: &mut Pcg64Mcg, round_duration: Duration) -> Vec<TimedFault> {
     let mut faults = Vec::new();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -57,8 +57,10 @@
     /// Proxies by target machine and by the group of the daemons that use them; `None` for the
     /// machine's own group.
     proxies: Vec<Vec<Option<Arc<LinkProxy>>>>,
-    store: Arc<Store>,
+    pub store: Arc<Store>,
     config_version: AtomicUsize,
+    /// Number of entries that were written.
+    write_count: AtomicUsize,
     attempt_count: AtomicUsize,
     is_stopping: AtomicBool,
 }
@@ -92,6 +94,7 @@
             proxies: Vec::new(),
             store: Store::start(&store_addresses).await,
             config_version: AtomicUsize::new(0),
+            write_count: AtomicUsize::new(0),
             attempt_count: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
         };
@@ -251,15 +254,26 @@
         let id = backend.id.lock().clone();
         let entry = format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":24,"state":
-            "{state}","cold-remaining-s":0,"sequence":1,"born":{}}}"#,
+            "{state}","cold-remaining-s":0,"sequence":0,"born":{}}}"#,
             backend.service,
             backend.address(),
             data_centre(machine),
             backend.start_count(),
         );
+        let entry = self.with_new_sequence(&entry);
         self.store.put(&format!("servers/{id}"), Some(entry));
     }
 
+    /// Returns an entry as its backend server writes it next. Other values stay as they are.
+    pub fn with_new_sequence(&self, entry: &str) -> String {
+        let Some((start, rest)) = entry.split_once(r#""sequence":"#) else {
+            return entry.to_owned();
+        };
+        let rest = rest.trim_start_matches(|c: char| c.is_ascii_digit());
+        let sequence = self.write_count.fetch_add(1, Ordering::Relaxed) + 1;
+        format!(r#"{start}"sequence":{sequence}{rest}"#)
+    }
+
     fn delete_entry(&self, machine: usize) {
         let id = self.backends[machine].id.lock().clone();
         self.store.put(&format!("servers/{id}"), None);
@@ -304,6 +318,7 @@
             }
             Fault::ExpireEntries => self.expire_entries(duration).await,
             Fault::Compact => self.store.compact(),
+            Fault::RestoreStore(drill) => return drill.play(self, duration).await,
             Fault::Pause { machine } => {
                 machines = vec![Some(machine)];
                 self.daemons[machine].pause(duration).await;
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -262,11 +262,9 @@
                 &self.configs.lock(),
                 &fault_spans,
             ));
-            violations.extend(drain_violations(
-                &requests,
-                &self.draining.lock(),
-                &fault_spans,
-            ));
+            let draining = self.draining.lock();
+            violations.extend(drain_violations(&requests, &draining, &fault_spans));
+            violations.extend(return_violations(&requests, &draining, &fault_spans));
         }
         violations.sort();
         violations
@@ -495,3 +493,38 @@
     }
     violations
 }
+
+/// Checks that instances get no requests again whose departure all daemons knew, also if the store
+/// came back from a copy without it. Only a daemon that was restarted since may have to learn it again.
+fn return_violations(
+    requests: &HashMap<String, RequestRecord>,
+    draining: &[(String, Instant)],
+    fault_spans: &[FaultSpan],
+) -> Vec<String> {
+    let mut violations = Vec::new();
+    for (instance, confirmed) in draining {
+        let known = *confirmed + DRAIN_PROPAGATION_TIME;
+        let calm_since = confirmed.checked_sub(FAULT_FREE_TIME).unwrap_or(*confirmed);
+        let mut spans = fault_spans.iter();
+        if spans.any(|span| span.begin <= known && span.end >= calm_since) {
+            continue;
+        }
+        let runs = requests.values().filter(|record| {
+            let machine = record.sent.as_ref().map(|sent| sent.machine);
+            let mut spans = fault_spans.iter();
+            let is_restarted = spans.any(|span| span.machine == machine && span.end >= *confirmed);
+            let mut arrivals = record.arrivals.iter();
+            !is_restarted
+                && arrivals.any(|arrival| {
+                    arrival.instance == *instance && arrival.is_run && arrival.arrived_at > known
+                })
+        });
+        let runs = runs.count();
+        if runs > 0 {
+            violations.push(format!(
+                "DRAIN: {runs} runs at {instance}, whose departure was known"
+            ));
+        }
+    }
+    violations
+}
--- a/tests/soak/history_checks.rs
+++ b/tests/soak/history_checks.rs
@@ -239,3 +239,27 @@
     });
     assert_eq!(announcement_violations(&history, CRASH_PATH, times()), "");
 }
+
+#[test]
+fn run_at_an_instance_that_was_known_to_leave_is_reported_whatever_the_store_does() {
+    let history = History::default();
+    history.record_sent("t", sent(false));
+    history.record_draining("i");
+    let begin = Instant::now() + Duration::from_secs(4);
+    let mut late = run("i", "sb");
+    late.arrived_at = begin + Duration::from_secs(1);
+    history.record_arrival("t", HEAD, late);
+    history.record_result("t", response("200", Some("g"), "b"));
+    let mut span = FaultSpan {
+        machine: None,
+        is_kill: false,
+        begin,
+        end: begin + Duration::from_secs(2),
+    };
+    history.record_fault_span(span);
+    let found = history.violations(true).join("; ");
+    assert!(found.contains("whose departure was known"), "{found}");
+    span.machine = Some(0);
+    history.record_fault_span(span);
+    assert!(history.violations(true).is_empty());
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -21,6 +21,7 @@
 mod link_proxy;
 mod managed_daemon;
 mod store;
+mod store_drill;
 
 use fleet::Fleet;
 use futures_util::StreamExt;
@@ -45,7 +46,7 @@
 const SHORT_ROUND_DURATION: Duration = Duration::from_secs(5);
 
 /// Seeds of the rounds without `SOAK_SEEDS`.
-const SHORT_ROUND_SEEDS: [u64; 3] = [1, 2, 3];
+const SHORT_ROUND_SEEDS: [u64; 4] = [1, 2, 3, 2_001];
 
 /// Rounds that once had a violation, as seed and duration in seconds. They are always executed.
 const REGRESSION_ROUNDS: [(u64, u64); 5] = [
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -3,7 +3,12 @@
 use crate::http_text::read_message;
 use base64::{Engine, engine::general_purpose::STANDARD};
 use parking_lot::Mutex;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     io::{AsyncWriteExt, BufStream},
     net::{TcpListener, TcpStream},
@@ -26,24 +31,31 @@
     Reset,
 }
 
-#[derive(Clone)]
+#[derive(Clone, PartialEq)]
 struct StoredItem {
     revision: u64,
     /// `None` for a deleted item.
     value: Option<String>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoreContent {
     items: BTreeMap<String, StoredItem>,
     revision: u64,
     /// Watches that need older changes than this revision get status 410.
     oldest_revision: u64,
+    /// Counts how often the store came back from a copy.
+    era: u64,
 }
 
+/// Time for which copies of the content are kept.
+const COPY_LIFETIME: Duration = Duration::from_secs(12);
+
 /// Configuration store with one endpoint for each daemon.
 pub struct Store {
     content: Mutex<StoreContent>,
+    /// Content before each write, with the time of the write.
+    copies: Mutex<VecDeque<(Instant, StoreContent)>>,
     changes: watch::Sender<u64>,
     endpoint_modes: Mutex<Vec<EndpointMode>>,
     /// Counts how often the open connections went silent.
@@ -55,6 +67,7 @@
     pub async fn start(addresses: &[SocketAddr]) -> Arc<Self> {
         let store = Arc::new(Self {
             content: Mutex::default(),
+            copies: Mutex::default(),
             changes: watch::Sender::new(0),
             silences: watch::Sender::new(0),
             endpoint_modes: Mutex::new(vec![EndpointMode::Serve; addresses.len()]),
@@ -76,6 +89,11 @@
     /// Writes an item, or deletes it if there is no value.
     pub fn put(&self, key: &str, value: Option<String>) {
         let mut content = self.content.lock();
+        let mut copies = self.copies.lock();
+        let now = Instant::now();
+        copies.retain(|(written, _)| *written + COPY_LIFETIME > now);
+        copies.push_back((now, content.clone()));
+        drop(copies);
         content.revision += 1;
         let revision = content.revision;
         content
@@ -85,6 +103,36 @@
         let _ = self.changes.send(revision);
     }
 
+    /// Comes back from a copy; returns its revision and the values that were written since, which are
+    /// lost.
+    pub fn restore(&self, age: Duration) -> (u64, Vec<(String, Option<String>)>) {
+        let mut content = self.content.lock();
+        let mut copies = std::mem::take(&mut *self.copies.lock()).into_iter();
+        let now = Instant::now();
+        let copy = copies.find(|(written, _)| *written + age > now);
+        let copy = copy.map_or_else(|| content.clone(), |(_, copy)| copy);
+        let era = content.era + 1;
+        let previous = std::mem::replace(&mut *content, StoreContent { era, ..copy });
+        let _ = self.changes.send(content.revision);
+        let lost = previous.items.into_iter();
+        let lost = lost.filter(|(key, item)| content.items.get(key) != Some(item));
+        let lost = lost.map(|(key, item)| (key, item.value)).collect();
+        (content.revision, lost)
+    }
+
+    /// Writes a value again that was lost, unless it was written after `revision`.
+    pub fn put_again(&self, key: &str, value: Option<String>, revision: u64) {
+        let content = self.content.lock();
+        let is_written = content
+            .items
+            .get(key)
+            .is_some_and(|item| item.revision > revision);
+        drop(content);
+        if !is_written {
+            self.put(key, value);
+        }
+    }
+
     /// Discards the old revisions; watches that need one of them get status 410.
     pub fn compact(&self) {
         let mut content = self.content.lock();
@@ -133,7 +181,10 @@
                 EndpointMode::Reset => return,
             };
             let length = body.len();
-            let response = format!("HTTP/1.1 {status} S\r\nContent-Length: {length}\r\n\r\n{body}");
+            let era = self.content.lock().era;
+            let response = format!(
+                "HTTP/1.1 {status} S\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n{body}"
+            );
             let is_sent = stream.write_all(response.as_bytes()).await.is_ok();
             if !is_sent || stream.flush().await.is_err() {
                 return;
@@ -157,6 +208,9 @@
         let after = query_number("after=");
         let deadline = Instant::now() + Duration::from_millis(query_number("wait-ms="));
         let mut changes = self.changes.subscribe();
+        if after > self.content.lock().revision {
+            return (410, String::new());
+        }
         loop {
             if after + 1 < self.content.lock().oldest_revision {
                 return (410, String::new());
