Let lists of daemons that were behind close no gap, and test eras, starts and mixed builds

An update from a list does not show removals of entries that its sender did not know. A receiver ahead of the sender kept such an entry and counted as complete.

Tests: restored_store_is_read_from_the_start (eras in errors, invalid and late ones), updates_that_close_no_gap_do_not_count, readers_of_an_earlier_build_do_not_count, starting_daemon_takes_the_state_of_a_peer_before_it_serves, eras_follow_what_earlier_builds_read.

--- a/src/decision/mesh/update_gap.rs
+++ b/src/decision/mesh/update_gap.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Default)]
 pub struct UpdateGap {
     position: StorePosition,
+    /// Position of the latest update, also after a gap.
+    latest: StorePosition,
     behind_since: Option<Instant>,
     requested_at: Option<Instant>,
 }
@@ -36,6 +38,16 @@
         if previous.era == last.era && previous <= self.position {
             self.mark_complete(last);
         }
+        self.latest = self.latest.max(last);
+    }
+
+    /// Records what a list as of position `last` changed for a sender that was at position `previous`.
+    /// A daemon that was ahead of the sender may have entries whose removal the list does not show.
+    pub fn record_list(&mut self, previous: StorePosition, last: StorePosition) {
+        if previous == self.position && self.latest <= previous {
+            self.record_range(previous, last);
+        }
+        self.latest = self.latest.max(last);
     }
 
     /// Returns whether to request the full state of a peer, since its updates did not arrive in
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -53,6 +53,7 @@
             last: self.update_gap.lock().position(),
             since_store_recovery_ms: recovered_at
                 .map(|at| now.saturating_duration_since(at).as_millis() as u32),
+            is_list: false,
         }
     }
 
@@ -92,7 +93,10 @@
             value: None,
         }));
         let previous = self.mark_complete(position);
-        self.store_update(changed, false, range_start(previous, known))
+        StoreUpdateFrame {
+            is_list: true,
+            ..self.store_update(changed, false, range_start(previous, known))
+        }
     }
 
     /// Applies a store update received from the peer at an address.
@@ -119,7 +123,11 @@
             return;
         }
         let mut gap = self.update_gap.lock();
-        gap.record_range(update.previous, update.last);
+        if update.is_list {
+            gap.record_list(update.previous, update.last);
+        } else {
+            gap.record_range(update.previous, update.last);
+        }
     }
 
     /// Records that this daemon has all entries as of a position; returns the one before.
--- a/src/mesh/frame_additions.rs
+++ b/src/mesh/frame_additions.rs
@@ -1,5 +1,5 @@
-//! Eras of the store in messages between daemons. They follow the parts of a message that daemons of
-//! earlier builds read.
+//! Ends of messages between daemons, after the parts that daemons of earlier builds read: the eras of
+//! positions in the store, and what kind of update it is.
 
 use crate::{
     common::*,
@@ -34,26 +34,30 @@
     }
 }
 
-/// End of a store update. One without it is in era 0.
+/// End of a store update. One without it is in era 0 and from a watch.
 #[derive(Debug, Deserialize, Serialize)]
-pub struct UpdateEras {
+pub struct UpdateAddition {
+    is_list: bool,
     previous: u64,
     last: u64,
     /// Eras of the items, in their order.
     items: Vec<u64>,
 }
 
-impl UpdateEras {
-    /// Returns the end of an update, unless all of it is in era 0.
+impl UpdateAddition {
+    /// Returns the end of an update that needs one.
     pub fn new(update: &StoreUpdateFrame) -> Option<Self> {
-        let eras = Self {
+        let addition = Self {
+            is_list: update.is_list,
             previous: update.previous.era,
             last: update.last.era,
             items: update.items.iter().map(|item| item.position.era).collect(),
         };
-        let is_later = |era: &u64| *era > 0;
-        (is_later(&eras.previous) || is_later(&eras.last) || eras.items.iter().any(is_later))
-            .then_some(eras)
+        let mut eras = [addition.previous, addition.last]
+            .into_iter()
+            .chain(addition.items.iter().copied());
+        let is_needed = addition.is_list || eras.any(|era| era > 0);
+        is_needed.then_some(addition)
     }
 
     /// Completes an update that was just decoded.
@@ -61,6 +65,7 @@
         if self.items.len() != update.items.len() {
             return Err(FrameError::Records(self.items.len()));
         }
+        update.is_list = self.is_list;
         update.previous.era = self.previous;
         update.last.era = self.last;
         for (item, era) in update.items.iter_mut().zip(self.items) {
--- a/src/mesh/peer_frame.rs
+++ b/src/mesh/peer_frame.rs
@@ -14,7 +14,7 @@
         organisation::organisation_demand::{DemandReport, MAX_DEMANDS},
     },
     mesh::{
-        frame_additions::{LoadAddition, UpdateEras},
+        frame_additions::{LoadAddition, UpdateAddition},
         store_interface::StoreItem,
     },
 };
@@ -98,6 +98,10 @@
     /// Time since the store became reachable again for the sender, in milliseconds; 0 while it is
     /// unreachable. Set only while entries that expired during the outage may be missing.
     pub since_store_recovery_ms: Option<u32>,
+    /// Whether the sender read a list, which does not show removals of entries that it did not know.
+    /// Appended to the message.
+    #[serde(skip)]
+    pub is_list: bool,
 }
 
 /// Load of a daemon and how it reads the store.
@@ -271,8 +275,8 @@
                 postcard::to_extend(&LoadAddition::new(load), bytes)
             }),
             Self::StoreUpdate(update) => {
-                postcard::to_stdvec(self).and_then(|bytes| match UpdateEras::new(update) {
-                    Some(eras) => postcard::to_extend(&eras, bytes),
+                postcard::to_stdvec(self).and_then(|bytes| match UpdateAddition::new(update) {
+                    Some(addition) => postcard::to_extend(&addition, bytes),
                     None => Ok(bytes),
                 })
             }
@@ -331,7 +335,7 @@
             }
             Self::StoreUpdate(mut update) => {
                 if let Some(update) = Arc::get_mut(&mut update) {
-                    postcard::from_bytes::<UpdateEras>(appended)?.apply(update)?;
+                    postcard::from_bytes::<UpdateAddition>(appended)?.apply(update)?;
                 }
                 Self::StoreUpdate(update)
             }
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -298,6 +298,7 @@
         previous: position(0),
         last: position(7),
         since_store_recovery_ms: None,
+        is_list: false,
     };
     scenario.links.broadcast_update(update);
     let mut updates = scenario.observer.updates.subscribe();
--- a/tests/mesh/reader_election.rs
+++ b/tests/mesh/reader_election.rs
@@ -209,6 +209,45 @@
     assert_eq!(fleet.readers("a"), [last]);
 }
 
+/// Guards against a daemon that does not read the store because of readers of an earlier build, which
+/// take what a restored store says for old.
+#[test]
+fn readers_of_an_earlier_build_do_not_count() {
+    let now = ManualClock::new().now();
+    let mut election = ReaderElection::new(9, "a".into(), now);
+    let mut status = StoreStatus {
+        data_centre: "a".into(),
+        is_reading: true,
+        position: position(7),
+        config_version: 1,
+        knows_eras: false,
+    };
+    for (knows_eras, expected) in [(false, 0), (true, 2)] {
+        status.knows_eras = knows_eras;
+        (1..=2).for_each(|peer| election.record_status(peer, &status, now));
+        assert_eq!(election.other_readers(), expected);
+    }
+}
+
+/// Guards against updates that leave a daemon without entries, or with removed ones, and still count as
+/// complete: from one era to the next, and from a list of a daemon that was behind.
+#[test]
+fn updates_that_close_no_gap_do_not_count() {
+    let restored = |revision| StorePosition { era: 1, revision };
+    let mut gap = UpdateGap::default();
+    gap.mark_complete(position(10));
+    gap.record_range(position(10), restored(4));
+    assert_eq!(gap.position(), position(10));
+    gap.record_list(position(8), position(12));
+    assert_eq!(gap.position(), position(10));
+    gap.mark_complete(restored(4));
+    gap.record_list(restored(4), restored(6));
+    assert_eq!(gap.position(), restored(6));
+    gap.record_range(restored(7), restored(9));
+    gap.record_list(restored(6), restored(12));
+    assert_eq!(gap.position(), restored(6));
+}
+
 /// Guards against store updates that are lost on the way to a daemon that does not read the store.
 #[test]
 fn lost_updates_are_requested() {
--- a/tests/mesh/restored_store.rs
+++ b/tests/mesh/restored_store.rs
@@ -9,6 +9,7 @@
     decision::{
         clock::{Clock, ManualClock},
         mesh::{fleet_view::EXPIRY_GRACE, store_position::StorePosition},
+        organisation::organisation_demand::DemandReport,
     },
     mesh::{
         fleet_state::FleetState,
@@ -427,3 +428,47 @@
         Ok(())
     });
 }
+
+/// Guards against messages that daemons of an earlier build cannot read, or that lose their eras.
+#[test]
+fn eras_follow_what_earlier_builds_read() {
+    let mut model = Model::new();
+    model.store.era = 4;
+    model.store.write(CONFIG_KEY);
+    model.read(0);
+    let state = &model.daemons[0].state;
+    let position = state.store_status().position;
+    let messages = [
+        PeerFrame::Load(state.update_plan()),
+        PeerFrame::StoreUpdate(Arc::new(state.full_store_state())),
+    ];
+    for message in messages {
+        let mut bytes = BytesMut::new();
+        message.encode(&mut bytes);
+        let earlier = postcard::take_from_bytes::<PeerFrame>(&bytes[4..]);
+        match earlier.expect("a message for earlier builds") {
+            (PeerFrame::Load(load), rest) => {
+                assert_eq!(load.store_status.position.revision, position.revision);
+                assert!(!load.store_status.knows_eras);
+                postcard::from_bytes::<DemandReport>(rest).expect("a demand");
+            }
+            (PeerFrame::StoreUpdate(update), _) => {
+                assert_eq!(update.last.revision, position.revision);
+            }
+            _ => panic!("another message"),
+        }
+        match PeerFrame::decode(&mut bytes) {
+            Ok(Some(PeerFrame::Load(load))) => {
+                assert_eq!(load.store_status.position, position);
+                assert!(load.store_status.knows_eras && load.demand.is_none());
+            }
+            Ok(Some(PeerFrame::StoreUpdate(update))) => {
+                assert_eq!(
+                    (update.last, update.items[0].position),
+                    (position, position)
+                );
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
--- a/tests/mesh/stand_ins.rs
+++ b/tests/mesh/stand_ins.rs
@@ -226,6 +226,10 @@
     silent_connections: Mutex<usize>,
     /// Time by which each response is late.
     response_delay: Mutex<Duration>,
+    /// Era that all responses state, if any.
+    era: Mutex<Option<String>>,
+    /// Status of all responses.
+    status: Mutex<u16>,
 }
 
 impl StoreStandIn {
@@ -237,6 +241,8 @@
             connections: Mutex::default(),
             silent_connections: Mutex::default(),
             response_delay: Mutex::default(),
+            era: Mutex::default(),
+            status: Mutex::new(200),
         });
         let serving = Arc::clone(&store);
         tokio::spawn(async move {
@@ -264,6 +270,18 @@
         *self.revision.lock() += 1;
     }
 
+    /// Comes back from a copy without any items, at an earlier revision.
+    pub fn restore(&self, era: &str, revision: u64) {
+        self.items.lock().clear();
+        *self.revision.lock() = revision;
+        *self.era.lock() = Some(era.to_owned());
+    }
+
+    /// Sets the status of all responses.
+    pub fn set_status(&self, status: u16) {
+        *self.status.lock() = status;
+    }
+
     /// Sends no more responses on any connection.
     pub fn stop_responding(&self) {
         *self.silent_connections.lock() = usize::MAX;
@@ -310,8 +328,11 @@
             } else {
                 format!(r#"{{"items":[{items}],"has-more":false,"as-of":{revision}}}"#)
             };
+            let era = self.era.lock().clone();
+            let era = era.map_or_else(String::new, |era| format!("Store-Era: {era}\r\n"));
+            let status = *self.status.lock();
             let response = format!(
-                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} S\r\n{era}Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if stream.write_all(response.as_bytes()).await.is_err() {
--- a/tests/mesh/start_sync.rs
+++ b/tests/mesh/start_sync.rs
@@ -59,11 +59,15 @@
 }
 
 fn read_store(state: &FleetState) {
+    read_version(state, 1);
+}
+
+fn read_version(state: &FleetState, version: u64) {
     let item = StoreItem {
         is_config: true,
         instance: None,
         position: POSITION,
-        value: Some(config(1).into()),
+        value: Some(config(version).into()),
     };
     state.apply_store_list(&[item], POSITION);
 }
@@ -122,3 +126,34 @@
     );
     assert!(state.reader_election.lock().is_reading());
 }
+
+/// Guards against a daemon that starts and serves by the older routes of a restored store, or passes
+/// them on, although its peers know later ones.
+#[test]
+fn starting_daemon_takes_the_state_of_a_peer_before_it_serves() {
+    let peer_ip = IpAddr::from([127, 0, 0, 9]);
+    let hello = |config_version| HelloFrame {
+        config_version,
+        ..seed().0.hello()
+    };
+    let (state, links) = seed();
+    state.begin_start();
+    read_store(&state);
+    assert!(links.state_for(11).is_none(), "passes the older state on");
+    state.ask_peers([peer_ip].into_iter());
+    assert!(state.record_handshake(peer_ip, &hello(2)));
+    assert!(!state.has_asked_peers(), "serves before the state arrives");
+    let (peer, _) = seed();
+    read_version(&peer, 2);
+    state.apply_update_from_peer(peer_ip, &peer.full_store_state());
+    assert!(state.has_asked_peers());
+    state.finish_start();
+    assert!(!state.is_starting());
+    assert_eq!(state.routes().expect("routes").version().0, 2);
+    assert!(links.state_for(11).is_some());
+    let (state, _) = seed();
+    state.ask_peers([peer_ip].into_iter());
+    assert!(!state.has_asked_peers());
+    assert!(!state.record_handshake(peer_ip, &hello(0)));
+    assert!(state.has_asked_peers(), "waits for a peer without a state");
+}
--- a/tests/mesh/store_reader.rs
+++ b/tests/mesh/store_reader.rs
@@ -120,3 +120,37 @@
     let time = scenario.time_to_version(2).await;
     assert!(time <= SILENCE_BOUND, "{time:?}");
 }
+
+/// Guards against a reader that goes on from a revision that a restored store has given out again, and
+/// against one that loses what is in force because of an era that cannot be read.
+#[tokio::test(start_paused = true)]
+async fn restored_store_is_read_from_the_start() {
+    let scenario = Scenario::start().await;
+    let position = || scenario.state.store_status().position;
+    let before = position();
+    for invalid in [
+        "-1",
+        "+1",
+        "one",
+        "18446744073709551616",
+        "1\r\nStore-Era: 2",
+    ] {
+        scenario.store.restore(invalid, before.revision + 5);
+        tokio::time::sleep(SILENCE_BOUND).await;
+        assert_eq!(position(), before, "{invalid}");
+        assert!(scenario.state.routes().is_some());
+    }
+    scenario.store.restore("3", before.revision - 5);
+    scenario.store.set_status(503);
+    tokio::time::sleep(SILENCE_BOUND).await;
+    scenario.store.set_status(200);
+    scenario.store.put("op/config", &config(2));
+    let time = scenario.time_to_version(2).await;
+    assert!(time <= SILENCE_BOUND, "{time:?}");
+    assert_eq!(position().era, 3);
+    assert!(position().revision < before.revision);
+    // A late response of an earlier era changes nothing.
+    scenario.store.restore("2", before.revision + 50);
+    tokio::time::sleep(SILENCE_BOUND).await;
+    assert_eq!(position().era, 3);
+}
