--- a/src/decision/mesh/fleet_view.rs
+++ b/src/decision/mesh/fleet_view.rs
@@ -266,14 +266,11 @@
             self.merge(entry, removal, now);
         }
         let mut missing = Vec::new();
-        for (id, state) in &mut self.members {
+        for (id, state) in &self.members {
             if state.known().position > position || entries.iter().any(|entry| entry.id == *id) {
                 continue;
             }
-            match &mut state.removal {
-                Some(removal) => removal.position = position,
-                None => missing.push(id.clone()),
-            }
+            missing.push(id.clone());
         }
         for id in &missing {
             self.remove(id, position, removal, now);
@@ -305,11 +302,17 @@
         } else {
             (now, false)
         };
-        state.removal = Some(Removal {
+        let removal = Removal {
             position,
             effective_at,
             waits_for_store,
-        });
+        };
+        // A removal that is still to take effect is not put off by another one.
+        state.removal = Some(state.removal.map_or(removal, |pending| Removal {
+            position,
+            effective_at: pending.effective_at.min(effective_at),
+            waits_for_store: pending.waits_for_store && waits_for_store,
+        }));
     }
 
     /// Drops members whose removal has taken effect; returns whether any was dropped.
--- a/src/decision/mesh/update_gap.rs
+++ b/src/decision/mesh/update_gap.rs
@@ -16,6 +16,8 @@
     position: StorePosition,
     /// Position of the latest update, also after a gap.
     latest: StorePosition,
+    /// Whether the store came back from a copy since this daemon has entries.
+    has_changed_era: bool,
     behind_since: Option<Instant>,
     requested_at: Option<Instant>,
 }
@@ -28,6 +30,7 @@
 
     /// Records that all entries as of a position have been received.
     pub fn mark_complete(&mut self, position: StorePosition) {
+        self.has_changed_era |= position.era > self.position.era && !self.position.is_start();
         self.position = self.position.max(position);
     }
 
@@ -41,10 +44,16 @@
         self.latest = self.latest.max(last);
     }
 
+    /// Returns whether this daemon may hold other entries than daemons at the same position: those that
+    /// knew a departure hold it against a restored store.
+    pub fn has_changed_era(&self) -> bool {
+        self.has_changed_era
+    }
+
     /// Records what a list as of position `last` changed for a sender that was at position `previous`.
-    /// A daemon that was ahead of the sender may have entries whose removal the list does not show.
+    /// A daemon with other entries than the sender may have some whose removal the list does not show.
     pub fn record_list(&mut self, previous: StorePosition, last: StorePosition) {
-        if previous == self.position && self.latest <= previous {
+        if previous == self.position && self.latest <= previous && !self.has_changed_era {
             self.record_range(previous, last);
         }
         self.latest = self.latest.max(last);
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -93,9 +93,14 @@
             value: None,
         }));
         let previous = self.mark_complete(position);
+        let previous = if self.update_gap.lock().has_changed_era() {
+            position
+        } else {
+            range_start(previous, known)
+        };
         StoreUpdateFrame {
             is_list: true,
-            ..self.store_update(changed, false, range_start(previous, known))
+            ..self.store_update(changed, false, previous)
         }
     }
 
