Let pipelined requests go on while a response is read slowly

What callers saw: behind a response that was read slowly, further requests of the connection got no response in time, and the slots of their finished runs stayed in use for up to 20 s.

The requests of a connection were polled only between two responses, and the next poll waited until a response was written whole.

Evidence: pipelined_requests_end_while_a_response_is_read_slowly failed before (an end of all runs: Elapsed) and passes.

--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -14,7 +14,7 @@
 };
 use bytes::BytesMut;
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesOrdered};
-use std::io;
+use std::{collections::VecDeque, io};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -30,6 +30,12 @@
 /// Most requests of one connection that are in progress at once.
 const MAX_PIPELINED: usize = 64;
 
+/// Bytes of responses that wait to be written beyond which no further request of a connection starts.
+const MAX_UNWRITTEN_BYTES: usize = 1 << 20;
+
+/// Bytes that are read ahead while no request can start, so that a caller that disconnects is noticed.
+const READ_AHEAD_BYTES: usize = 64 << 10;
+
 /// Free space in the buffer for each read, in bytes.
 const READ_BYTES: usize = 8 << 10;
 
@@ -76,18 +82,35 @@
     /// Whether the caller asked to close the connection after the response.
     closes_connection: bool,
     /// Keeps the request open until the response is written, unless it was rejected unread.
-    _open: Option<OpenRequest>,
+    open: Option<OpenRequest>,
 }
 
 type ResponseFuture = BoxFuture<'static, ReadyResponse>;
 
+/// Message that is being written.
+struct OutgoingMessage {
+    /// Rest of the message.
+    rest: BytesMut,
+    /// Whether the connection is closed after the message.
+    closes_connection: bool,
+    deadline: Instant,
+    /// Keeps the request open until the message is written.
+    _open: Option<OpenRequest>,
+}
+
 /// Connection of one caller. Pipelined requests run concurrently; their responses are written in
 /// request order.
 struct CallerConnection {
     proxy: Arc<EntryProxy>,
     input: BytesMut,
     read_progress: ReadProgress,
+    /// Requests in progress, and those that completed before an earlier one.
     responses: FuturesOrdered<ResponseFuture>,
+    /// Responses that wait until the one before them is written.
+    ready: VecDeque<ReadyResponse>,
+    outgoing: Option<OutgoingMessage>,
+    /// Whether the caller has closed its side.
+    has_disconnected: bool,
     idle_since: Instant,
 }
 
@@ -99,6 +122,9 @@
             input: BytesMut::new(),
             read_progress: ReadProgress::Head { since: None },
             responses: FuturesOrdered::new(),
+            ready: VecDeque::new(),
+            outgoing: None,
+            has_disconnected: false,
         }
     }
 
@@ -126,46 +152,114 @@
     }
 
     /// Serves requests; returns true if the daemon closes the connection after a response.
+    ///
+    /// All requests make progress while a response is written: the caller may read it slowly, and the
+    /// others hold slots meanwhile.
     async fn serve_requests(
         &mut self,
         reader: &mut ReadHalf<'_>,
         writer: &mut WriteHalf<'_>,
     ) -> io::Result<bool> {
         loop {
-            let deadline = self.read_deadline();
-            let is_reading = self.responses.len() < MAX_PIPELINED;
+            if self.outgoing.is_none() {
+                self.write_next();
+            }
+            if self.has_disconnected && self.outgoing.is_none() {
+                return Ok(false);
+            }
+            let is_idle = self.responses.is_empty() && self.outgoing.is_none();
+            let is_reading =
+                !self.has_disconnected && (self.has_room() || self.input.len() < READ_AHEAD_BYTES);
+            let read_deadline = self.read_deadline();
+            let write_deadline = self.outgoing.as_ref().map(|outgoing| outgoing.deadline);
             tokio::select! {
                 Some(ready) = self.responses.next(), if !self.responses.is_empty() => {
-                    if self.write(writer, &ready.response, ready.closes_connection).await? {
+                    self.ready.push_back(ready);
+                }
+                written = write_rest(writer, &mut self.outgoing), if !is_idle => {
+                    written?;
+                    if self.finish_write() {
                         return Ok(true);
                     }
-                    // Requests for which there was no room are in the buffer.
-                    if !self.input.is_empty() {
-                        self.start_complete_requests(writer).await?;
-                    }
                 }
                 read = read_available(reader, &mut self.input), if is_reading => {
                     if read? == 0 {
-                        return Ok(false);
+                        // Cancels the requests in progress; what is ready is still written.
+                        self.responses.clear();
+                        self.has_disconnected = true;
                     }
-                    self.start_complete_requests(writer).await?;
+                    self.start_complete_requests();
                 }
-                () = sleep_until(deadline.into()), if self.responses.is_empty() => {
+                () = sleep_until(write_deadline.unwrap_or(read_deadline).into()),
+                    if is_idle || write_deadline.is_some() =>
+                {
+                    if write_deadline.is_some() {
+                        return Err(io::ErrorKind::TimedOut.into());
+                    }
                     if matches!(self.read_progress, ReadProgress::Head { since: None }) {
                         return Ok(true);
                     }
-                    let response = self.proxy.local_response(
-                        LocalReason::SlowCaller,
-                        &[],
-                        Duration::ZERO,
-                    );
-                    self.write(writer, &response, true).await?;
-                    return Ok(true);
+                    self.push_local(LocalReason::SlowCaller);
                 }
             }
         }
     }
 
+    /// Returns whether another request may start.
+    fn has_room(&self) -> bool {
+        let outgoing = self.outgoing.as_ref();
+        let unwritten = outgoing.map_or(0, |outgoing| outgoing.rest.len())
+            + self
+                .ready
+                .iter()
+                .map(|ready| ready.response.body.len())
+                .sum::<usize>();
+        let unfinished = self.responses.len() + self.ready.len() + usize::from(outgoing.is_some());
+        unfinished < MAX_PIPELINED && unwritten < MAX_UNWRITTEN_BYTES
+    }
+
+    /// Begins to write the next response that is ready.
+    fn write_next(&mut self) {
+        let Some(ready) = self.ready.pop_front() else {
+            return;
+        };
+        let is_last = self.responses.is_empty() && self.ready.is_empty() && self.input.is_empty();
+        let closes_connection = ready.closes_connection
+            || ready.response.closes_connection
+            || (self.proxy.state().is_leaving() && is_last);
+        let message = ready.response.encode(closes_connection);
+        self.write_message(message, closes_connection, ready.open);
+    }
+
+    fn write_message(
+        &mut self,
+        rest: BytesMut,
+        closes_connection: bool,
+        open: Option<OpenRequest>,
+    ) {
+        self.outgoing = Some(OutgoingMessage {
+            rest,
+            closes_connection,
+            deadline: self.proxy.state().clock.now() + WRITE_TIMEOUT,
+            _open: open,
+        });
+    }
+
+    /// Completes a message of which all is written; returns whether the connection is closed after
+    /// it.
+    fn finish_write(&mut self) -> bool {
+        let is_written = |outgoing: &mut OutgoingMessage| outgoing.rest.is_empty();
+        let Some(written) = self.outgoing.take_if(is_written) else {
+            return false;
+        };
+        self.idle_since = self.proxy.state().clock.now();
+        // Requests for which there was no room are in the buffer.
+        if !self.input.is_empty() && !written.closes_connection {
+            self.start_complete_requests();
+        }
+        written.closes_connection
+    }
+
     /// Returns when an idle connection or an incomplete request times out. An incomplete body times
     /// out like an idle connection: `idle_timeout` after the last received data or written
     /// response.
@@ -178,33 +272,16 @@
         }
     }
 
-    /// Writes a response; returns whether the connection is closed after it.
-    async fn write(
-        &mut self,
-        writer: &mut WriteHalf<'_>,
-        response: &CallerResponse,
-        closes_connection: bool,
-    ) -> io::Result<bool> {
-        let is_last = self.responses.is_empty() && self.input.is_empty();
-        let is_leaving = self.proxy.state().is_leaving() && is_last;
-        let closes_connection = closes_connection || response.closes_connection || is_leaving;
-        let message = response.encode(closes_connection);
-        timeout(WRITE_TIMEOUT, writer.write_all(&message))
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    /// Starts all requests that have been read completely, as long as there is room.
+    fn start_complete_requests(&mut self) {
         self.idle_since = self.proxy.state().clock.now();
-        Ok(closes_connection)
-    }
-
-    /// Starts all requests that have been read completely.
-    async fn start_complete_requests(&mut self, writer: &mut WriteHalf<'_>) -> io::Result<()> {
-        self.idle_since = self.proxy.state().clock.now();
-        while self.responses.len() < MAX_PIPELINED {
+        while self.has_room() && !self.has_disconnected {
             match self.take_request() {
                 Ok(Some(request)) => self.start(request),
                 Ok(None) => {
                     if self.is_continue_due() {
-                        writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                        let message = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
+                        self.write_message(message, false, None);
                     }
                     break;
                 }
@@ -214,7 +291,6 @@
                 }
             }
         }
-        Ok(())
     }
 
     fn take_request(&mut self) -> Result<Option<CallerRequest>, MessageError> {
@@ -268,7 +344,7 @@
             ReadyResponse {
                 response: proxy.serve(request).await,
                 closes_connection,
-                _open: Some(open),
+                open: Some(open),
             }
         }));
     }
@@ -282,12 +358,17 @@
                 LocalReason::Malformed
             }
         };
+        self.push_local(reason);
+    }
+
+    /// Responds to a request that was not read whole, and closes the connection after the response.
+    fn push_local(&mut self, reason: LocalReason) {
         let response = self.proxy.local_response(reason, &[], Duration::ZERO);
         self.read_progress = ReadProgress::Closed;
         let ready = ReadyResponse {
             response,
             closes_connection: true,
-            _open: None,
+            open: None,
         };
         self.responses
             .push_back(Box::pin(std::future::ready(ready)));
@@ -298,6 +379,8 @@
             ReadProgress::Body { head, body, .. } => {
                 body.is_empty()
                     && self.responses.is_empty()
+                    && self.ready.is_empty()
+                    && self.outgoing.is_none()
                     && head.headers.has_token("Expect", "100-continue")
             }
             _ => false,
@@ -309,3 +392,17 @@
     input.reserve(READ_BYTES);
     reader.read_buf(input).await
 }
+
+/// Writes a part of a message; waits for ever without one.
+async fn write_rest(
+    writer: &mut WriteHalf<'_>,
+    outgoing: &mut Option<OutgoingMessage>,
+) -> io::Result<()> {
+    let Some(outgoing) = outgoing else {
+        return std::future::pending().await;
+    };
+    match writer.write_buf(&mut outgoing.rest).await? {
+        0 => Err(io::ErrorKind::WriteZero.into()),
+        _ => Ok(()),
+    }
+}
