Keep a stopping daemon up until the results for its peers are written

What callers saw: a 502 for a request whose run was complete, if the daemon beside its backend server stopped while it wrote a large result to a slow peer.

A run counted until its result was queued, not until it was written.

Evidence: request_is_open_until_its_result_is_written fails when the queued result holds no open request, and passes.

--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -118,6 +118,12 @@
     state: Arc<FleetState>,
 }
 
+impl fmt::Debug for OpenRequest {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("OpenRequest")
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.state.open_requests.fetch_sub(1, Ordering::Relaxed);
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -5,14 +5,14 @@
     decision::mesh::run_table::{BlockCause, ResumedRun, RunId, RunTable, RunTerms, StartVerdict},
     mesh::{
         connection_end::ConnectionEnd,
-        fleet_state::FleetState,
+        fleet_state::{FleetState, OpenRequest},
         forwarded_caller,
         peer_frame::{
             CallFrame, HelloFrame, LoadFrame, NotRunReason, PeerFrame, ReplyFrame, RunResult,
             UnknownReason,
         },
         peer_links::PeerLinks,
-        sender_connections::Outbox,
+        sender_connections::{Outbox, QueuedFrame},
         task_names,
     },
 };
@@ -73,6 +73,7 @@
                         peer_ip: None,
                         replaced: Arc::default(),
                         min_clock_difference_us: i64::MAX,
+                        unwritten: Vec::new(),
                     };
                     tokio::spawn(async move {
                         let end = connection.serve(stream).await;
@@ -173,7 +174,11 @@
     }
 
     fn send_reply(&self, id: RunId, reply: Arc<ReplyFrame>) {
-        self.links.senders.send(id.sender, PeerFrame::Reply(reply));
+        let queued = QueuedFrame {
+            frame: PeerFrame::Reply(reply),
+            open: Some(self.state.open_request()),
+        };
+        self.links.senders.send(id.sender, queued);
     }
 
     /// Returns the state of a run as a message for its sender.
@@ -220,6 +225,8 @@
     /// Smallest observed difference between the clock of this daemon at the receipt of a request
     /// and that of the sender when it was queued, in microseconds.
     min_clock_difference_us: i64,
+    /// Keep requests open whose results are not written whole.
+    unwritten: Vec<OpenRequest>,
 }
 
 impl PeerConnection {
@@ -237,7 +244,7 @@
         &mut self,
         stream: &mut TcpStream,
         outbox: &Outbox,
-        mut inbox: mpsc::UnboundedReceiver<PeerFrame>,
+        mut inbox: mpsc::UnboundedReceiver<QueuedFrame>,
     ) -> ConnectionEnd {
         let (mut reader, mut writer) = stream.split();
         let mut input = BytesMut::new();
@@ -251,6 +258,7 @@
                 written = writer.write_buf(&mut output), if !output.is_empty() => {
                     match written {
                         Ok(0) => return io::Error::from(io::ErrorKind::WriteZero).into(),
+                        Ok(_) if output.is_empty() => self.unwritten.clear(),
                         Ok(_) => {}
                         Err(error) => return error.into(),
                     }
@@ -259,8 +267,9 @@
                     if received == 0 {
                         return ConnectionEnd::Unused;
                     }
-                    for frame in batch.drain(..) {
-                        frame.encode(&mut output);
+                    for queued in batch.drain(..) {
+                        queued.frame.encode(&mut output);
+                        self.unwritten.extend(queued.open);
                     }
                 }
                 read = async { input.reserve(READ_BYTES); reader.read_buf(&mut input).await } => {
@@ -307,6 +316,7 @@
                 for number in numbers {
                     listener.resume_run(RunId { sender, number }).encode(output);
                 }
+                self.unwritten.push(listener.state.open_request());
             }
             PeerFrame::Ping => PeerFrame::Pong.encode(output),
             PeerFrame::StoreUpdate(update) => {
--- a/src/mesh/sender_connections.rs
+++ b/src/mesh/sender_connections.rs
@@ -2,13 +2,31 @@
 
 use crate::{
     common::*,
-    mesh::peer_frame::{HelloFrame, PeerFrame},
+    mesh::{
+        fleet_state::OpenRequest,
+        peer_frame::{HelloFrame, PeerFrame},
+    },
 };
 use std::net::IpAddr;
 use tokio::sync::{Notify, mpsc};
 
+/// Message that waits to be written to a sender.
+#[derive(Debug)]
+pub struct QueuedFrame {
+    /// Message.
+    pub frame: PeerFrame,
+    /// Keeps the request open until its result is written.
+    pub open: Option<OpenRequest>,
+}
+
+impl From<PeerFrame> for QueuedFrame {
+    fn from(frame: PeerFrame) -> Self {
+        Self { frame, open: None }
+    }
+}
+
 /// Queue of the messages that are sent over one connection.
-pub type Outbox = mpsc::UnboundedSender<PeerFrame>;
+pub type Outbox = mpsc::UnboundedSender<QueuedFrame>;
 
 /// Current connection of each peer that sends requests to this daemon, by its daemon id.
 #[derive(Debug, Default)]
@@ -62,9 +80,9 @@
     }
 
     /// Sends a message to a sender, if it is connected.
-    pub fn send(&self, sender: u64, frame: PeerFrame) {
+    pub fn send(&self, sender: u64, frame: impl Into<QueuedFrame>) {
         if let Some(connection) = self.connections.lock().get(&sender) {
-            let _ = connection.outbox.send(frame);
+            let _ = connection.outbox.send(frame.into());
         }
     }
 
@@ -73,7 +91,7 @@
         let connections = self.connections.lock();
         let receivers = connections.values().filter(|sender| is_receiver(sender.ip));
         for receiver in receivers {
-            let _ = receiver.outbox.send(frame.clone());
+            let _ = receiver.outbox.send(frame.clone().into());
         }
     }
 }
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -639,3 +639,33 @@
     scenario.expect_response(scenario.call(2)).await;
     assert_eq!(scenario.backend.run_count(), 1);
 }
+
+/// Guards against a result that is cut off by the stop of the daemon beside the backend server, since the
+/// peer reads it slowly.
+#[tokio::test]
+async fn request_is_open_until_its_result_is_written() {
+    const BODY_BYTES: usize = 24 << 20;
+    let scenario = Scenario::start().await;
+    *scenario.backend.body.lock() = Some("x".repeat(BODY_BYTES));
+    let mut stream = TcpStream::connect(scenario.peer)
+        .await
+        .expect("a connection");
+    let mut bytes = BytesMut::new();
+    PeerFrame::Hello(FrameObserver::default().hello(loopback(9, 0))).encode(&mut bytes);
+    PeerFrame::Call(Box::new(scenario.call(1))).encode(&mut bytes);
+    stream.write_all(&bytes).await.expect("a write");
+    let mut received = 0;
+    let mut part = vec![0; 64 << 10];
+    while received < BODY_BYTES {
+        received += stream.read(&mut part).await.expect("a result");
+        if received > part.len() && received < BODY_BYTES / 2 {
+            assert_eq!(scenario.state.open_requests(), 1, "{received} bytes");
+        }
+    }
+    let ending = async {
+        while scenario.state.open_requests() > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(TEST_TIMEOUT, ending).await.expect("an end");
+}
