--- a/src/decision/mesh/start_check.rs
+++ b/src/decision/mesh/start_check.rs
@@ -12,27 +12,38 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Progress of the question.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct StartCheck {
+    /// Version of the configuration in the handshake of each peer, 0 without one.
+    answers: IndexMap<IpAddr, u64>,
     unanswered: IndexSet<IpAddr>,
     requested: Option<IpAddr>,
-    until: Instant,
+    /// End of the wait; `None` before the question.
+    until: Option<Instant>,
 }
 
 impl StartCheck {
-    /// Starts the question to these peers.
-    pub fn new(peers: impl Iterator<Item = IpAddr>, now: Instant) -> Self {
-        Self {
-            unanswered: peers.take(MAX_ASKED_PEERS).collect(),
-            requested: None,
-            until: now + ANSWER_TIMEOUT,
+    /// Asks peers; returns the one whose state is requested, if one has answered already.
+    pub fn ask(&mut self, peers: impl Iterator<Item = IpAddr>, now: Instant) -> Option<IpAddr> {
+        self.until = Some(now + ANSWER_TIMEOUT);
+        for peer in peers.take(MAX_ASKED_PEERS) {
+            match self.answers.get(&peer) {
+                Some(0) => {}
+                Some(_) => self.requested = Some(peer),
+                None => {
+                    self.unanswered.insert(peer);
+                }
+            }
         }
+        self.requested
     }
 
-    /// Records the handshake of a peer, which states the version of its configuration, 0 without
-    /// one; returns whether to request the state of this peer.
+    /// Records the handshake of a peer, which states the version of its configuration; returns
+    /// whether to request the state of this peer.
     pub fn record_answer(&mut self, peer: IpAddr, config_version: u64) -> bool {
-        if !self.unanswered.swap_remove(&peer) || config_version == 0 || self.requested.is_some() {
+        self.answers.insert(peer, config_version);
+        let was_asked = self.unanswered.swap_remove(&peer);
+        if !was_asked || config_version == 0 || self.requested.is_some() {
             return false;
         }
         self.requested = Some(peer);
@@ -41,6 +52,7 @@
 
     /// Returns whether the daemon serves by what it has: no peer has a state, or none sent it in time.
     pub fn is_over(&self, now: Instant) -> bool {
-        now >= self.until || (self.unanswered.is_empty() && self.requested.is_none())
+        let has_answers = self.unanswered.is_empty() && self.requested.is_none();
+        self.until.is_some_and(|until| now >= until || has_answers)
     }
 }
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -232,6 +232,7 @@
 
     /// Holds requests of callers back until [`Self::finish_start`].
     pub fn begin_start(&self) {
+        *self.start_check.lock() = Some(StartCheck::default());
         self.is_starting.store(true, Ordering::Relaxed);
     }
 
@@ -240,18 +241,19 @@
         self.is_starting.load(Ordering::Relaxed)
     }
 
-    /// Starts the question to peers, whose handshakes answer it.
-    pub fn ask_peers(&self, peers: impl Iterator<Item = IpAddr>) {
-        *self.start_check.lock() = Some(StartCheck::new(peers, self.clock.now()));
+    /// Starts the question to peers, whose handshakes answer it; returns the peer whose state is
+    /// requested, if one has answered already.
+    pub fn ask_peers(&self, peers: impl Iterator<Item = IpAddr>) -> Option<IpAddr> {
+        let mut check = self.start_check.lock();
+        check.as_mut()?.ask(peers, self.clock.now())
     }
 
     /// Returns whether a peer sent its state, or none has one or sends it in time.
     pub fn has_asked_peers(&self) -> bool {
         let check = self.start_check.lock();
+        let now = self.clock.now();
         self.has_peer_state.load(Ordering::Relaxed)
-            || check
-                .as_ref()
-                .is_some_and(|check| check.is_over(self.clock.now()))
+            || check.as_ref().is_none_or(|check| check.is_over(now))
     }
 
     /// Records the handshake of a peer; returns whether to request its state.
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -141,7 +141,7 @@
         let previous = gap.position();
         gap.mark_complete(position);
         drop(gap);
-        if position.era > previous.era {
+        if position.era > previous.era && !previous.is_start() {
             log::warn!(
                 previous:% = previous,
                 position:% = position;
--- a/src/mesh/start_sync.rs
+++ b/src/mesh/start_sync.rs
@@ -55,10 +55,15 @@
     let first = state.daemon_id as usize % peers.len().max(1);
     peers.rotate_left(first);
     peers.truncate(MAX_ASKED_PEERS);
-    state.ask_peers(peers.iter().map(SocketAddr::ip));
+    let requested = state.ask_peers(peers.iter().map(SocketAddr::ip));
     for peer in peers {
+        let frame = if requested == Some(peer.ip()) {
+            PeerFrame::FetchStoreState
+        } else {
+            PeerFrame::Ping
+        };
         if let Some(link) = links.link(peer) {
-            link.send(PeerFrame::Ping);
+            link.send(frame);
         }
     }
     while !state.has_asked_peers() {
--- a/tests/mesh/start_sync.rs
+++ b/tests/mesh/start_sync.rs
@@ -142,7 +142,7 @@
     state.begin_start();
     read_store(&state);
     assert!(links.state_for(11).is_none(), "passes the older state on");
-    state.ask_peers([peer_ip].into_iter());
+    assert_eq!(state.ask_peers([peer_ip].into_iter()), None);
     assert!(state.record_handshake(peer_ip, &hello(2)));
     assert!(!state.has_asked_peers(), "serves before the state arrives");
     let (peer, _) = seed();
@@ -154,8 +154,13 @@
     assert_eq!(state.routes().expect("routes").version().0, 2);
     assert!(links.state_for(11).is_some());
     let (state, _) = seed();
-    state.ask_peers([peer_ip].into_iter());
-    assert!(!state.has_asked_peers());
+    state.begin_start();
+    assert!(!state.has_asked_peers(), "serves before it has asked");
+    assert_eq!(state.ask_peers([peer_ip].into_iter()), None);
     assert!(!state.record_handshake(peer_ip, &hello(0)));
     assert!(state.has_asked_peers(), "waits for a peer without a state");
+    let (state, _) = seed();
+    state.begin_start();
+    assert!(!state.record_handshake(peer_ip, &hello(2)));
+    assert_eq!(state.ask_peers([peer_ip].into_iter()), Some(peer_ip));
 }
