--- a/src/decision/mesh/fleet_view.rs
+++ b/src/decision/mesh/fleet_view.rs
@@ -265,13 +265,14 @@
         for entry in entries {
             self.merge(entry, removal, now);
         }
-        let mut missing = Vec::new();
-        for (id, state) in &self.members {
-            if state.known().position > position || entries.iter().any(|entry| entry.id == *id) {
-                continue;
-            }
-            missing.push(id.clone());
-        }
+        let missing: Vec<SmolStr> = self
+            .members
+            .iter()
+            .filter(|(id, state)| {
+                state.known().position <= position && !entries.iter().any(|entry| entry.id == **id)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in &missing {
             self.remove(id, position, removal, now);
         }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -30,6 +30,7 @@
 mod route_table;
 mod run_table;
 mod shutdown_wait;
+mod slow_callers;
 mod stand_ins;
 mod start_sync;
 mod store_reader;
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -15,7 +15,10 @@
 //! - `END`: a daemon exited unexpectedly, with an error or not in time.
 //! - `HARNESS`: the test itself failed.
 
-use crate::announcements::{AnnouncementLog, LimitSpan};
+use crate::{
+    announcements::{AnnouncementLog, LimitSpan},
+    departures,
+};
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
@@ -29,16 +32,12 @@
 /// having received the request.
 const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
 
-/// Time within which a backend server may still get requests after the store has confirmed that it
-/// is draining.
-const DRAIN_PROPAGATION_TIME: Duration = Duration::from_secs(2);
-
 /// Time within which a configuration must be in force everywhere after the store has confirmed it.
 const CONFIG_APPLY_TIME: Duration = Duration::from_secs(2);
 
 /// Time without a fault that must precede a drain, or a request that is checked for its
 /// configuration.
-const FAULT_FREE_TIME: Duration = Duration::from_secs(3);
+pub const FAULT_FREE_TIME: Duration = Duration::from_secs(3);
 
 /// Window of the retry budget.
 pub const RETRY_BUDGET_WINDOW: Duration = Duration::from_secs(10);
@@ -102,9 +101,9 @@
 }
 
 #[derive(Debug, Default)]
-struct RequestRecord {
-    sent: Option<SentRequest>,
-    arrivals: Vec<Arrival>,
+pub struct RequestRecord {
+    pub sent: Option<SentRequest>,
+    pub arrivals: Vec<Arrival>,
     result: Option<ObservedResult>,
 }
 
@@ -263,8 +262,16 @@
                 &fault_spans,
             ));
             let draining = self.draining.lock();
-            violations.extend(drain_violations(&requests, &draining, &fault_spans));
-            violations.extend(return_violations(&requests, &draining, &fault_spans));
+            violations.extend(departures::drain_violations(
+                &requests,
+                &draining,
+                &fault_spans,
+            ));
+            violations.extend(departures::return_violations(
+                &requests,
+                &draining,
+                &fault_spans,
+            ));
         }
         violations.sort();
         violations
@@ -462,69 +469,3 @@
     }
     violations
 }
-
-/// Checks that draining instances get no requests after [`DRAIN_PROPAGATION_TIME`]. Requests are
-/// excluded if a fault was active between [`FAULT_FREE_TIME`] before the drain and their arrival.
-fn drain_violations(
-    requests: &HashMap<String, RequestRecord>,
-    draining: &[(String, Instant)],
-    fault_spans: &[FaultSpan],
-) -> Vec<String> {
-    let mut violations = Vec::new();
-    for (instance, confirmed) in draining {
-        let arrivals = requests.values().flat_map(|record| &record.arrivals);
-        let late_runs = arrivals.filter(|arrival| {
-            arrival.instance == *instance
-                && arrival.is_run
-                && arrival.arrived_at > *confirmed + DRAIN_PROPAGATION_TIME
-        });
-        let late_runs = late_runs.filter(|arrival| {
-            let fault_free_since = confirmed.checked_sub(FAULT_FREE_TIME).unwrap_or(*confirmed);
-            !fault_spans
-                .iter()
-                .any(|span| span.begin <= arrival.arrived_at && span.end >= fault_free_since)
-        });
-        let late_runs = late_runs.count();
-        if late_runs > 0 {
-            violations.push(format!(
-                "DRAIN: {late_runs} runs at {instance} after its drain"
-            ));
-        }
-    }
-    violations
-}
-
-/// Checks that instances get no requests again whose departure all daemons knew, also if the store
-/// came back from a copy without it. Only a daemon that was restarted since may have to learn it again.
-fn return_violations(
-    requests: &HashMap<String, RequestRecord>,
-    draining: &[(String, Instant)],
-    fault_spans: &[FaultSpan],
-) -> Vec<String> {
-    let mut violations = Vec::new();
-    for (instance, confirmed) in draining {
-        let known = *confirmed + DRAIN_PROPAGATION_TIME;
-        let calm_since = confirmed.checked_sub(FAULT_FREE_TIME).unwrap_or(*confirmed);
-        let mut spans = fault_spans.iter();
-        if spans.any(|span| span.begin <= known && span.end >= calm_since) {
-            continue;
-        }
-        let runs = requests.values().filter(|record| {
-            let machine = record.sent.as_ref().map(|sent| sent.machine);
-            let mut spans = fault_spans.iter();
-            let is_restarted = spans.any(|span| span.machine == machine && span.end >= *confirmed);
-            let mut arrivals = record.arrivals.iter();
-            !is_restarted
-                && arrivals.any(|arrival| {
-                    arrival.instance == *instance && arrival.is_run && arrival.arrived_at > known
-                })
-        });
-        let runs = runs.count();
-        if runs > 0 {
-            violations.push(format!(
-                "DRAIN: {runs} runs at {instance}, whose departure was known"
-            ));
-        }
-    }
-    violations
-}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod announcements;
 mod backend;
 mod caller;
+mod departures;
 mod fault_plan;
 mod fleet;
 mod history;
