Write a response at once where possible

The select of a caller's connection polled the branches in random order, and registered a timer for most writes.

--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -172,16 +172,18 @@
                 !self.has_disconnected && (self.has_room() || self.input.len() < READ_AHEAD_BYTES);
             let read_deadline = self.read_deadline();
             let write_deadline = self.outgoing.as_ref().map(|outgoing| outgoing.deadline);
+            // Most responses are written at once. The timer of the write is used only for the others.
             tokio::select! {
-                Some(ready) = self.responses.next(), if !self.responses.is_empty() => {
-                    self.ready.push_back(ready);
-                }
+                biased;
                 written = write_rest(writer, &mut self.outgoing), if !is_idle => {
                     written?;
                     if self.finish_write() {
                         return Ok(true);
                     }
                 }
+                Some(ready) = self.responses.next(), if !self.responses.is_empty() => {
+                    self.ready.push_back(ready);
+                }
                 read = read_available(reader, &mut self.input), if is_reading => {
                     if read? == 0 {
                         // Cancels the requests in progress; what is ready is still written.
