--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -511,7 +511,7 @@
     pub body: usize,
     /// Refuses without a run.
     pub refuses: bool,
-    /// Path of a call that the run makes first, at the outbound address of its machine.
+    /// Path of a call (`POST`) that the run makes first, at the outbound address of its machine.
     pub call: Option<String>,
 }
 
@@ -737,7 +737,7 @@
                 let deadline = self.arrivals.lock().unwrap()[index].deadline_ms;
                 let spent = ((self.record.now() - began) * 1_000.0) as u64;
                 let left = deadline.saturating_sub(spent);
-                let (_, answer) = ask(&self.record, self.outbound, "GET", path, left, b"");
+                let (_, answer) = ask(&self.record, self.outbound, "POST", path, left, b"x");
                 if !answer.is_ok_and(|answer| answer.is_some_and(|answer| answer.status() == 200)) {
                     plan.status = 500;
                 }
