--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out
 # the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/release/skylarkstream ] && [ -x target/review-2/pipeline_behind_close ] || exit 2
-CASE_DIR="$PWD/review/6" exec target/review-2/pipeline_behind_close
+[ -x target/release/skylarkstream ] && [ -x target/review-2/late_copy ] || exit 2
+CASE_DIR="$PWD/review/6" exec target/review-2/late_copy
