Review cases 7 and 8: clients with plain sockets too

Eight of the clients of case 8 and four of case 7 now use sockets as the system makes them, with larger answers, so that the cases don't hang on the buffers of one machine.

--- a/review/standins-2/answer_reset.rs
+++ b/review/standins-2/answer_reset.rs
@@ -13,13 +13,32 @@
     time::{Duration, Instant},
 };
 
-/// Sizes of the answers, one for each client.
-const SIZES: [usize; 8] = [
-    8_000, 9_000, 12_000, 16_000, 20_000, 24_000, 30_000, 36_000,
+/// Sizes of the answers and sockets of the clients, one for each client.
+const SIZES: [(usize, Socket); 12] = [
+    (8_000, Socket::Small),
+    (9_000, Socket::Small),
+    (12_000, Socket::Small),
+    (16_000, Socket::Small),
+    (20_000, Socket::Small),
+    (24_000, Socket::Small),
+    (30_000, Socket::Small),
+    (36_000, Socket::Small),
+    (400_000, Socket::Plain),
+    (700_000, Socket::Plain),
+    (1_000_000, Socket::Plain),
+    (1_500_000, Socket::Plain),
 ];
 
-/// How fast a client reads: about 1.5 MB a second.
-const PIECE: usize = 32 << 10;
+/// Socket of a client: with a receive buffer of 4 kB and the segment size of an ordinary network, or as
+/// the system makes it.
+#[derive(Clone, Copy)]
+enum Socket {
+    Small,
+    Plain,
+}
+
+/// How a client reads: at most this much each 20 ms.
+const PIECE: usize = 64 << 10;
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Body of the answer to the small requests.
@@ -68,9 +87,9 @@
         cannot_run(&record, "no service before the disruption");
     }
     let clients: Vec<_> = SIZES
-        .map(|size| {
+        .map(|(size, socket)| {
             let (record, address) = (Arc::clone(&record), entry.outbound());
-            thread::spawn(move || play_client(&record, address, size))
+            thread::spawn(move || play_client(&record, address, size, socket))
         })
         .into();
     thread::sleep(Duration::from_millis(100));
@@ -105,9 +124,18 @@
 }
 
 /// Sends two requests before it reads; returns them, and whether each got its whole answer.
-fn play_client(record: &Record, address: std::net::SocketAddr, size: usize) -> Vec<(String, bool)> {
+fn play_client(
+    record: &Record,
+    address: std::net::SocketAddr,
+    size: usize,
+    socket: Socket,
+) -> Vec<(String, bool)> {
     let (first, second) = (next_attempt(), next_attempt());
-    let Ok(mut stream) = connect_slowly(address, 4 << 10, 1_448) else {
+    let stream = match socket {
+        Socket::Small => connect_slowly(address, 4 << 10, 1_448),
+        Socket::Plain => std::net::TcpStream::connect(address),
+    };
+    let Ok(mut stream) = stream else {
         cannot_run(record, "cannot connect");
     };
     let path = format!("/docs/{size}");
--- a/review/standins-2/pipeline_behind_close.rs
+++ b/review/standins-2/pipeline_behind_close.rs
@@ -15,12 +15,35 @@
 
 /// Sizes of the large answers, one for each client. How much of an answer the daemon has still to
 /// write when the next request comes depends on the buffers of the machine.
-const SIZES: [usize; 8] = [
-    36_000, 60_000, 80_000, 100_000, 150_000, 200_000, 250_000, 300_000,
+const SIZES: [(usize, Socket); 16] = [
+    (36_000, Socket::Small),
+    (60_000, Socket::Small),
+    (80_000, Socket::Small),
+    (100_000, Socket::Small),
+    (150_000, Socket::Small),
+    (200_000, Socket::Small),
+    (250_000, Socket::Small),
+    (300_000, Socket::Small),
+    (500_000, Socket::Plain),
+    (1_000_000, Socket::Plain),
+    (1_500_000, Socket::Plain),
+    (2_000_000, Socket::Plain),
+    (2_500_000, Socket::Plain),
+    (3_000_000, Socket::Plain),
+    (3_600_000, Socket::Plain),
+    (4_200_000, Socket::Plain),
 ];
 
-/// How fast a client reads: about 1.5 MB a second.
-const PIECE: usize = 32 << 10;
+/// Socket of a client: with a receive buffer of 4 kB and the segment size of an ordinary network, or as
+/// the system makes it.
+#[derive(Clone, Copy)]
+enum Socket {
+    Small,
+    Plain,
+}
+
+/// How a client reads: at most this much each 20 ms.
+const PIECE: usize = 64 << 10;
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Body of the answer to the small requests.
@@ -67,9 +90,9 @@
         cannot_run(&record, "no service before the disruption");
     }
     let clients: Vec<_> = SIZES
-        .map(|size| {
+        .map(|(size, socket)| {
             let (record, address) = (Arc::clone(&record), entry.outbound());
-            thread::spawn(move || play_client(&record, address, size))
+            thread::spawn(move || play_client(&record, address, size, socket))
         })
         .into();
     thread::sleep(Duration::from_millis(100));
@@ -103,9 +126,18 @@
 }
 
 /// Sends two requests before it reads; returns them, and whether each got its whole answer.
-fn play_client(record: &Record, address: std::net::SocketAddr, size: usize) -> Vec<(String, bool)> {
+fn play_client(
+    record: &Record,
+    address: std::net::SocketAddr,
+    size: usize,
+    socket: Socket,
+) -> Vec<(String, bool)> {
     let (first, second) = (next_attempt(), next_attempt());
-    let Ok(mut stream) = connect_slowly(address, 4 << 10, 1_448) else {
+    let stream = match socket {
+        Socket::Small => connect_slowly(address, 4 << 10, 1_448),
+        Socket::Plain => std::net::TcpStream::connect(address),
+    };
+    let Ok(mut stream) = stream else {
         cannot_run(record, "cannot connect");
     };
     let path = format!("/docs/{size}");
