--- a/review/standins-2/pipeline_behind_close.rs
+++ b/review/standins-2/pipeline_behind_close.rs
@@ -1,5 +1,5 @@
-//! Clients send a further safe request before they have read the answer to their first one, which is
-//! large. The daemon that took both gets SIGTERM.
+//! Clients send a further safe request before they have read the answers to their first ones. The daemon
+//! that took them gets SIGTERM.
 
 #[path = "rig.rs"]
 #[allow(dead_code)]
@@ -13,25 +13,27 @@
     time::{Duration, Instant},
 };
 
-/// Sizes of the large answers, one for each client. How much of an answer the daemon has still to
-/// write when the next request comes depends on the buffers of the machine.
-const SIZES: [(usize, Socket); 16] = [
-    (36_000, Socket::Small),
-    (60_000, Socket::Small),
-    (80_000, Socket::Small),
-    (100_000, Socket::Small),
-    (150_000, Socket::Small),
-    (200_000, Socket::Small),
-    (250_000, Socket::Small),
-    (300_000, Socket::Small),
-    (500_000, Socket::Plain),
-    (1_000_000, Socket::Plain),
-    (1_500_000, Socket::Plain),
-    (2_000_000, Socket::Plain),
-    (2_500_000, Socket::Plain),
-    (3_000_000, Socket::Plain),
-    (3_600_000, Socket::Plain),
-    (4_200_000, Socket::Plain),
+/// First requests of each client: how many, the size of their answers, and its socket. How much of the
+/// answers the daemon has still to write when the next request comes depends on the buffers of the machine.
+const FIRST: [(usize, usize, Socket); 18] = [
+    (3, 36_000, Socket::Small),
+    (3, 30_000, Socket::Small),
+    (4, 24_000, Socket::Small),
+    (5, 18_000, Socket::Small),
+    (6, 15_000, Socket::Small),
+    (9, 9_000, Socket::Small),
+    (10, 9_000, Socket::Small),
+    (12, 9_000, Socket::Small),
+    (14, 9_000, Socket::Small),
+    (1, 100_000, Socket::Small),
+    (1, 200_000, Socket::Small),
+    (1, 300_000, Socket::Small),
+    (1, 500_000, Socket::Plain),
+    (1, 1_000_000, Socket::Plain),
+    (1, 1_500_000, Socket::Plain),
+    (1, 2_000_000, Socket::Plain),
+    (1, 3_000_000, Socket::Plain),
+    (1, 4_200_000, Socket::Plain),
 ];
 
 /// Socket of a client: with a receive buffer of 4 kB and the segment size of an ordinary network, or as
@@ -89,10 +91,10 @@
     if !warm.is_ok_and(|answer| answer.is_some_and(|answer| answer.status() == 200)) {
         cannot_run(&record, "no service before the disruption");
     }
-    let clients: Vec<_> = SIZES
-        .map(|(size, socket)| {
+    let clients: Vec<_> = FIRST
+        .map(|(count, size, socket)| {
             let (record, address) = (Arc::clone(&record), entry.outbound());
-            thread::spawn(move || play_client(&record, address, size, socket))
+            thread::spawn(move || play_client(&record, address, count, size, socket))
         })
         .into();
     thread::sleep(Duration::from_millis(100));
@@ -125,14 +127,14 @@
     finish(&record, i32::from(lost > 0));
 }
 
-/// Sends two requests before it reads; returns them, and whether each got its whole answer.
+/// Sends all its requests before it reads; returns them, and whether each got its whole answer.
 fn play_client(
     record: &Record,
     address: std::net::SocketAddr,
+    count: usize,
     size: usize,
     socket: Socket,
 ) -> Vec<(String, bool)> {
-    let (first, second) = (next_attempt(), next_attempt());
     let stream = match socket {
         Socket::Small => connect_slowly(address, 4 << 10, 1_448),
         Socket::Plain => std::net::TcpStream::connect(address),
@@ -140,20 +142,28 @@
     let Ok(mut stream) = stream else {
         cannot_run(record, "cannot connect");
     };
-    let path = format!("/docs/{size}");
-    let _ = stream.write_all(&request("GET", &path, &first, 5_000, b""));
-    record.say(format!("client sends {first}: GET {path}"));
+    let mut attempts = Vec::new();
+    for _ in 0..count {
+        let attempt = next_attempt();
+        let path = format!("/docs/{size}");
+        let _ = stream.write_all(&request("GET", &path, &attempt, 5_000, b""));
+        record.say(format!("client sends {attempt}: GET {path}"));
+        attempts.push((attempt, size));
+    }
     thread::sleep(Duration::from_millis(550));
-    let result = stream.write_all(&request("GET", "/index/x", &second, 4_000, b""));
+    let last = next_attempt();
+    let result = stream.write_all(&request("GET", "/index/x", &last, 4_000, b""));
     record.say(format!(
-        "client sends {second}: GET /index/x, behind {first}, of whose answer it has read nothing ({})",
+        "client sends {last}: GET /index/x, behind {count} others, of whose answers it has read nothing ({})",
         if result.is_ok() { "sent" } else { "failed" }
     ));
+    attempts.push((last, SMALL));
     let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
-    let until = Instant::now() + Duration::from_millis(4_400);
+    let until = Instant::now() + Duration::from_millis(4_000);
+    let end_of_last = body_of(&attempts[count].0, SMALL);
     let mut received = Vec::new();
     let mut end = "still open";
-    while Instant::now() < until && !received.ends_with(&body_of(&second, SMALL)) {
+    while Instant::now() < until && !received.ends_with(&end_of_last) {
         let mut bytes = vec![0; PIECE];
         match stream.read(&mut bytes) {
             Ok(0) => {
@@ -169,14 +179,19 @@
         }
         thread::sleep(PAUSE);
     }
-    let head = find(&received, b"\r\n\r\n").map_or(0, |end| end + 4);
-    let closes = String::from_utf8_lossy(&received[..head]).contains("Connection: close");
-    let is_first_whole = received.len() >= head + size;
-    let is_second_whole = received.ends_with(&body_of(&second, SMALL));
-    record.say(format!(
-        "client: {} bytes, the connection is {end}; {first} whole: {is_first_whole} (with Connection: \
-         close: {closes}), {second} whole: {is_second_whole}",
-        received.len()
-    ));
-    vec![(first, is_first_whole), (second, is_second_whole)]
+    // The answers come in the order of the requests.
+    let mut rest = received.as_slice();
+    let mut answers = Vec::new();
+    for (attempt, size) in attempts {
+        let head = find(rest, b"\r\n\r\n").map_or(rest.len(), |end| end + 4);
+        let text = String::from_utf8_lossy(&rest[..head]).into_owned();
+        let is_whole = text.contains(&format!("Attempt-Id: {attempt}"))
+            && rest[head..].starts_with(&body_of(&attempt, size));
+        let closes = text.contains("Connection: close");
+        record.say(format!("client: {attempt} got its whole answer: {is_whole} (Connection: close: {closes})"));
+        rest = &rest[(head + size).min(rest.len())..];
+        answers.push((attempt, is_whole));
+    }
+    record.say(format!("client: {} bytes, the connection is {end}", received.len()));
+    answers
 }
