Carry no attempt twice over a connection to a backend server

Cause: the identifier of an attempt tells a late second copy of a response from the response to a later request, but an attempt that was refused could be sent over the same connection again. Two entries at one address, as after a crash, led both attempts of a request to one server and one connection.

Why this works: a connection remembers the attempts that it carried without a final result, and the pool gives them another one; this replaces the special case for status 421. Instances are selected by address, one member for each, and an address that was tried is not tried again.

Tests, failing before: late_copy_of_a_refusal_by_a_full_server_does_not_hide_a_run on ("NotRun(Refused)"), server_with_two_entries_is_selected_once with members() in place of current_members() (left: ["i-1", "i-2", "i-3"]).

--- a/src/decision/mesh/fleet_view.rs
+++ b/src/decision/mesh/fleet_view.rs
@@ -349,6 +349,20 @@
         self.members.iter().map(|(id, state)| (id, &state.entry))
     }
 
+    /// Returns the members without those whose address a later entry has. A backend server that was
+    /// replaced at its address has ended, although its entry has not expired yet.
+    pub fn current_members(&self) -> impl Iterator<Item = (&SmolStr, &BackendEntry)> {
+        let mut latest: IndexMap<SocketAddr, StorePosition> = IndexMap::new();
+        for state in self.members.values() {
+            let position = latest.entry(state.entry.address).or_default();
+            *position = state.position.max(*position);
+        }
+        self.members
+            .iter()
+            .filter(move |(_, state)| latest[&state.entry.address] == state.position)
+            .map(|(id, state)| (id, &state.entry))
+    }
+
     /// Returns whether there are no members.
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
--- a/src/decision/mesh/instance_selector.rs
+++ b/src/decision/mesh/instance_selector.rs
@@ -136,15 +136,15 @@
         }
     }
 
-    /// Applies the current members. Instances that remain keep their measurements; a restart of the
-    /// backend server resets its service times and failures.
+    /// Applies the current members, one for each address. Instances that remain keep their
+    /// measurements; a restart of the backend server resets its service times and failures.
     pub fn update(&mut self, view: &FleetView, now: Instant) {
         let mut previous: IndexMap<SmolStr, InstanceKey> = self
             .instances
             .iter()
             .map(|(key, state)| (state.id.clone(), key))
             .collect();
-        for (id, entry) in view.members() {
+        for (id, entry) in view.current_members() {
             let warm_up_until = now + entry.remaining_warm_up;
             match previous.swap_remove(id) {
                 Some(key) => {
@@ -226,19 +226,22 @@
             && (reachable.count() as f64) < ISOLATED_SHARE * total as f64
     }
 
-    /// Selects the instance of a service that has the lowest cost and is not in `tried`, and counts
-    /// the attempt. Suspect instances come last.
+    /// Selects the instance of a service that has the lowest cost and whose backend server is not at
+    /// one of the addresses in `tried`, and counts the attempt. Suspect instances come last.
     pub fn select(
         &mut self,
         request: SelectionRequest<'_>,
-        tried: &[InstanceKey],
+        tried: &[SocketAddr],
         now: Instant,
     ) -> Option<SelectedInstance> {
         let keys = self.by_service.get(request.service)?;
         let candidates: Vec<InstanceKey> = keys
             .iter()
             .copied()
-            .filter(|key| !tried.contains(key) && self.instances[*key].is_serving(now))
+            .filter(|key| {
+                let state = &self.instances[*key];
+                !tried.contains(&state.entry.address) && state.is_serving(now)
+            })
             .collect();
         let fallback = self.fallback_time(keys, request.route);
         // A common cause, such as a failing called service, raises the failure rates of all
@@ -281,12 +284,12 @@
         })
     }
 
-    /// Returns whether a service has an instance that is not in `tried`, accepts requests and is
-    /// not suspect.
-    pub fn has_alternative(&self, service: &str, tried: &[InstanceKey], now: Instant) -> bool {
+    /// Returns whether a service has an instance that is not at one of the addresses in `tried`,
+    /// accepts requests and is not suspect.
+    pub fn has_alternative(&self, service: &str, tried: &[SocketAddr], now: Instant) -> bool {
         let keys = self.by_service.get(service).into_iter().flatten();
-        keys.filter(|key| !tried.contains(key))
-            .map(|key| &self.instances[*key])
+        keys.map(|key| &self.instances[*key])
+            .filter(|state| !tried.contains(&state.entry.address))
             .any(|state| state.is_serving(now) && !state.is_suspect(self.peer_timeout, now))
     }
 
@@ -357,18 +360,17 @@
         }
     }
 
-    /// Returns what the backend server on a machine said of itself. With several entries, for
-    /// example because one has not expired yet, they are those of a server that said something.
+    /// Returns what the backend server on a machine said of itself.
     pub fn server_notes(&self, ip: std::net::IpAddr) -> ServerNotes {
-        let states = self.instances.values();
-        let local_states = states.filter(|state| state.entry.address.ip() == ip);
-        let mut notes = local_states.map(|state| ServerNotes {
+        let mut states = self.instances.values();
+        let local_state = states.find(|state| state.entry.address.ip() == ip);
+        let notes = local_state.map(|state| ServerNotes {
             instance: state.id.clone(),
             named_rate: state.named_rate,
             is_leaving: state.is_server_leaving,
             crash: None,
         });
-        notes.find(|notes| !notes.is_empty()).unwrap_or_default()
+        notes.filter(|notes| !notes.is_empty()).unwrap_or_default()
     }
 
     /// Sets the interval at which daemons send their load. A daemon that sent load before and
--- a/src/emulator/emulated_request.rs
+++ b/src/emulator/emulated_request.rs
@@ -37,8 +37,8 @@
     pub fingerprint: u64,
     /// Whether the caller sends a refused request again.
     pub is_return: bool,
-    /// Instances that were tried.
-    pub tried: Vec<InstanceKey>,
+    /// Addresses of the backend servers that were tried.
+    pub tried: Vec<SocketAddr>,
     /// Attempt in progress.
     pub attempt: Option<EmulatedAttempt>,
     /// Routes that the run still has to call, the next one last.
--- a/src/emulator/fleet_emulator/request_flow.rs
+++ b/src/emulator/fleet_emulator/request_flow.rs
@@ -122,7 +122,7 @@
         let gate_key = daemon.gate.offer(gate_request, now);
         daemon.at_gate.insert(gate_key, key);
         let request = &mut self.requests[key];
-        request.tried.push(selected.key);
+        request.tried.push(selected.address);
         request.attempt = Some(EmulatedAttempt {
             daemon: index,
             instance: selected.key,
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt_history;
 pub mod attempt_runner;
+pub mod backend_connection;
 pub mod backend_exchange;
 pub mod backend_pool;
 pub mod caller_connection;
--- a/src/mesh/attempt_history.rs
+++ b/src/mesh/attempt_history.rs
@@ -3,7 +3,7 @@
 use crate::{
     common::*,
     decision::mesh::{
-        instance_selector::{InstanceKey, InstanceResult},
+        instance_selector::InstanceResult,
         route_table::{RouteSpec, RunSemantics},
     },
     mesh::{
@@ -20,8 +20,9 @@
 /// State of the attempts at one request.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
-    /// Instances that were tried.
-    pub tried: Vec<InstanceKey>,
+    /// Addresses of the backend servers that were tried. The daemon beside a server runs a request there
+    /// whatever entry of the server the request names.
+    pub tried: Vec<SocketAddr>,
     /// Attempts that may have reached a backend server.
     pub reached: u32,
     /// Retries that the budget granted.
--- a/src/mesh/attempt_runner.rs
+++ b/src/mesh/attempt_runner.rs
@@ -118,7 +118,7 @@
                     allotments.take_repeat(&organisation.name, now);
                 }
             }
-            history.tried.push(instance.key);
+            history.tried.push(instance.address);
             let is_last = history.refusals + 1 >= MAX_REFUSALS
                 || !state
                     .selector
--- a/src/mesh/backend_exchange.rs
+++ b/src/mesh/backend_exchange.rs
@@ -5,11 +5,12 @@
     decision::clock::Clock,
     http1::{
         byte_budget::ByteBudget,
-        client_connection::{BodyLimits, ClientConnection, ExchangeError, ServerResponse},
+        client_connection::{BodyLimits, ExchangeError, ServerResponse},
         header_list::put_field,
         message_head::ResponseHead,
     },
     mesh::{
+        backend_connection::BackendConnection,
         backend_pool::BackendPool,
         context_headers::ContextHeaders,
         peer_frame::{CallFrame, NotRunReason, RunResponse, RunResult, UnknownReason},
@@ -50,19 +51,22 @@
         }
     }
 
-    /// Sends a request over a connection; returns the response of the backend server.
+    /// Sends a request over a connection; returns the result of its run from the response, and records
+    /// what the backend server says of itself.
     pub async fn exchange(
         &self,
-        mut connection: ClientConnection,
+        mut connection: BackendConnection,
         call: &CallFrame,
-        expected: &SmolStr,
+        server: &ServerState,
         remaining: Duration,
-    ) -> Result<ServerResponse, ExchangeError> {
-        let request = self.request_bytes(call, expected, remaining);
+    ) -> Result<RunResult, ExchangeError> {
+        let sent_at = self.clock.now();
+        let expected = server.expected_id(&call.instance);
+        let request = self.request_bytes(call, &expected, remaining);
         let attempt = self.headers.attempt;
         // A response without an attempt identifier can only report that a request was not run. On a
         // connection that carried others, it may belong to one of those.
-        let accepts_no_id = !connection.is_used() || call.attempt_id.is_empty();
+        let accepts_no_id = !connection.client.is_used() || call.attempt_id.is_empty();
         let matches_attempt = |head: &ResponseHead| {
             let response_attempt = head.headers.get(attempt);
             response_attempt.map_or(accepts_no_id, |response_attempt| {
@@ -70,6 +74,7 @@
             })
         };
         let response = connection
+            .client
             .exchange(
                 &request,
                 call.method == "HEAD",
@@ -77,12 +82,14 @@
                 matches_attempt,
             )
             .await?;
-        // After this status the request may be sent again. A late copy of the response would have the
-        // same attempt identifier.
-        if response.is_reusable && response.head.status != OTHER_INSTANCE_STATUS {
+        let result = self.classify_response(server, call, &response, sent_at);
+        if !is_final(&result) {
+            connection.record_unsettled(&call.attempt_id);
+        }
+        if response.is_reusable {
             self.pool.put(connection, &response.head, self.clock.now());
         }
-        Ok(response)
+        Ok(result)
     }
 
     fn request_bytes(&self, call: &CallFrame, expected: &str, remaining: Duration) -> BytesMut {
@@ -106,19 +113,14 @@
 
     /// Returns the result of a run from the response to the request that was sent at `sent_at`, and
     /// records what the backend server says of itself.
-    pub fn classify_response(
+    fn classify_response(
         &self,
         server: &ServerState,
         call: &CallFrame,
-        response: ServerResponse,
+        response: &ServerResponse,
         sent_at: Instant,
     ) -> RunResult {
-        let ServerResponse {
-            head,
-            body,
-            is_first,
-            ..
-        } = response;
+        let head = &response.head;
         let headers = &head.headers;
         let matches_attempt = headers.get(self.headers.attempt) == Some(call.attempt_id.as_ref());
         let is_unexecuted = headers.get(self.headers.not_executed).is_some();
@@ -127,7 +129,7 @@
                 attempt:% = call.attempt_id.escape_ascii(),
                 status = head.status,
                 matching = u64::from(matches_attempt),
-                first = u64::from(is_first);
+                first = u64::from(response.is_first);
                 "executor: The backend server says that it did not run a request."
             );
         }
@@ -165,7 +167,12 @@
         RunResult::Response(RunResponse {
             status: head.status,
             head: lines.freeze(),
-            body,
+            body: response.body.clone(),
         })
     }
 }
+
+/// Returns whether a request is not sent again after a result.
+fn is_final(result: &RunResult) -> bool {
+    matches!(result, RunResult::Response(response) if response.status < 500)
+}
--- a/src/mesh/backend_pool.rs
+++ b/src/mesh/backend_pool.rs
@@ -3,6 +3,7 @@
 use crate::{
     common::*,
     http1::{client_connection::ClientConnection, message_head::ResponseHead},
+    mesh::backend_connection::BackendConnection,
 };
 use std::io;
 
@@ -25,7 +26,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    connection: ClientConnection,
+    connection: BackendConnection,
     idle_since: Instant,
     max_idle: Duration,
 }
@@ -46,34 +47,50 @@
         }
     }
 
-    /// Takes the most recently used idle connection, or opens a new one.
-    pub async fn take(&self, is_at_most_once: bool, now: Instant) -> io::Result<ClientConnection> {
-        if let Some(connection) = self.take_idle(is_at_most_once, now) {
+    /// Takes the most recently used idle connection that has not carried the attempt, or opens a new
+    /// one.
+    pub async fn take(
+        &self,
+        attempt_id: &[u8],
+        is_at_most_once: bool,
+        now: Instant,
+    ) -> io::Result<BackendConnection> {
+        if let Some(connection) = self.take_idle(attempt_id, is_at_most_once, now) {
             return Ok(connection);
         }
         let connecting = ClientConnection::open(self.address);
-        tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        let client = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        Ok(client.into())
     }
 
-    fn take_idle(&self, is_at_most_once: bool, now: Instant) -> Option<ClientConnection> {
+    fn take_idle(
+        &self,
+        attempt_id: &[u8],
+        is_at_most_once: bool,
+        now: Instant,
+    ) -> Option<BackendConnection> {
         let mut idle = self.idle.lock();
         idle.retain(|candidate| now < candidate.idle_since + candidate.max_idle);
-        while let Some(candidate) = idle.pop() {
-            if is_at_most_once && candidate.idle_since + AT_MOST_ONCE_MAX_IDLE < now {
-                idle.push(candidate);
+        loop {
+            let accepts = |candidate: &IdleConnection| candidate.connection.accepts(attempt_id);
+            let index = idle.iter().rposition(accepts)?;
+            if is_at_most_once && idle[index].idle_since + AT_MOST_ONCE_MAX_IDLE < now {
                 return None;
             }
-            if candidate.connection.is_idle() {
+            let candidate = idle.remove(index);
+            if candidate.connection.client.is_idle() {
                 return Some(candidate.connection);
             }
         }
-        None
     }
 
     /// Returns a connection to the pool after a complete response.
-    pub fn put(&self, connection: ClientConnection, head: &ResponseHead, now: Instant) {
+    pub fn put(&self, connection: BackendConnection, head: &ResponseHead, now: Instant) {
+        if connection.is_exhausted() {
+            return;
+        }
         let stated = head.headers.text("Keep-Alive").and_then(keep_alive_seconds);
         let keep_alive = stated.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs);
         let keep_alive = keep_alive.min(MAX_KEEP_ALIVE);
@@ -82,10 +99,10 @@
 
     /// Adds a connection to the pool that has carried no request.
     pub fn put_unused(&self, connection: ClientConnection, now: Instant) {
-        self.put_for(connection, DEFAULT_KEEP_ALIVE, now);
+        self.put_for(connection.into(), DEFAULT_KEEP_ALIVE, now);
     }
 
-    fn put_for(&self, connection: ClientConnection, keep_alive: Duration, now: Instant) {
+    fn put_for(&self, connection: BackendConnection, keep_alive: Duration, now: Instant) {
         self.idle.lock().push(IdleConnection {
             connection,
             idle_since: now,
--- a/src/mesh/executor.rs
+++ b/src/mesh/executor.rs
@@ -15,8 +15,9 @@
         profile::service_profile::AdmissionLimits,
         request_priority::RequestPriority,
     },
-    http1::client_connection::{ClientConnection, ExchangeError},
+    http1::client_connection::ExchangeError,
     mesh::{
+        backend_connection::BackendConnection,
         backend_exchange::BackendExchange,
         context_headers::ContextHeaders,
         counted_run::{CountedRun, mean_run_time},
@@ -272,7 +273,7 @@
         call: &CallFrame,
         deadline: Instant,
         begin: &RunBegin<'_>,
-    ) -> Result<(ClientConnection, Option<IsolatedRun>), NotRunReason> {
+    ) -> Result<(BackendConnection, Option<IsolatedRun>), NotRunReason> {
         if !self.wait_for_start(call, deadline).await {
             return Err(NotRunReason::Busy);
         }
@@ -287,10 +288,8 @@
                 Some(started.ok_or(NotRunReason::Busy)?)
             }
         };
-        let taking = self
-            .backend
-            .pool
-            .take(call.is_at_most_once, self.clock.now());
+        let pool = &self.backend.pool;
+        let taking = pool.take(&call.attempt_id, call.is_at_most_once, self.clock.now());
         let connection = taking.await.map_err(|error| {
             log::info!(
                 "executor: Cannot reach the backend server for {}: {error}.",
@@ -307,29 +306,25 @@
     /// Sends a request over a connection and judges the response.
     async fn run_on(
         &self,
-        connection: ClientConnection,
+        connection: BackendConnection,
         call: &CallFrame,
         deadline: Instant,
     ) -> (RunEnd, WorkResult) {
         let started = self.clock.now();
         let remaining = deadline.saturating_duration_since(started);
-        let expected = self.server.expected_id(&call.instance);
         let mut run = CountedRun::start(&self.call_counts, self.clock.as_ref(), &call.route);
         self.run_count.fetch_add(1, Ordering::Relaxed);
         let exchange = self
             .backend
-            .exchange(connection, call, &expected, remaining);
+            .exchange(connection, call, &self.server, remaining);
         let Ok(response) = timeout_at((deadline + RESPONSE_GRACE).into(), exchange).await else {
             let result = RunResult::Unknown(UnknownReason::Timeout);
             return (result.into(), WorkResult::Aborted);
         };
         let now = self.clock.now();
         let end = match response {
-            Ok(response) => {
+            Ok(result) => {
                 self.crash_monitor.record_response();
-                let result = self
-                    .backend
-                    .classify_response(&self.server, call, response, started);
                 result.into()
             }
             Err(error) => self.classify_error(call, &error).await,
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -321,7 +321,7 @@
     /// Returns the number of members that run the service of the local backend server.
     pub fn service_member_count(&self) -> usize {
         let view = self.view.lock();
-        let members = view.members();
+        let members = view.current_members();
         members
             .filter(|(_, entry)| entry.service == self.settings.service)
             .count()
--- a/src/mesh/fleet_state/store_updates.rs
+++ b/src/mesh/fleet_state/store_updates.rs
@@ -334,9 +334,8 @@
         let view = self.view.lock();
         self.selector.lock().update(&view, now);
         let local_member = view
-            .members()
-            .filter(|(_, entry)| entry.address == self.settings.backend)
-            .max_by_key(|(_, entry)| entry.started_ms);
+            .current_members()
+            .find(|(_, entry)| entry.address == self.settings.backend);
         let is_published = local_member.is_some();
         if self.is_published.swap(is_published, Ordering::Relaxed) != is_published {
             let change = if is_published {
@@ -352,7 +351,7 @@
                     .set_published_instance(id, entry.started_ms, entry.slots);
             }
             None => {
-                let mut members = view.members();
+                let mut members = view.current_members();
                 let same_service =
                     members.find(|(_, entry)| entry.service == self.settings.service);
                 if let Some((_, entry)) = same_service {
--- a/tests/mesh/instance_selector.rs
+++ b/tests/mesh/instance_selector.rs
@@ -275,3 +275,33 @@
         assert_eq!(share > 0.5, is_local, "{local_ms} ms, {in_flight}: {share}");
     }
 }
+
+/// Guards against two attempts of a request at one backend server, because two entries have its
+/// address: the entry of a server that crashed stays until it expires.
+#[test]
+fn server_with_two_entries_is_selected_once() {
+    let mut scenario = Scenario::new(2);
+    let restarted = VersionedEntry {
+        id: "i-3".into(),
+        position: position(9),
+        value: Some(entry(SERVICE, "10.0.0.1:80", ServingState::Ready)),
+    };
+    let now = scenario.clock.now();
+    scenario.view.apply(&restarted, now);
+    scenario.selector.update(&scenario.view, now);
+    let counts = scenario.run(50, false, |_| {
+        let time = Duration::from_millis(50);
+        (InstanceResult::Responded, low_load(), time)
+    });
+    assert_eq!(counts.keys().collect::<Vec<_>>(), ["i-2", "i-3"]);
+    let tried = ["10.0.0.1:80", "10.0.0.2:80"].map(|text| text.parse().expect("an address"));
+    let request = SelectionRequest {
+        service: SERVICE,
+        route: ROUTE,
+        latency_target: LATENCY_TARGET,
+        needs_slot: false,
+    };
+    let selected = scenario.selector.select(request, &tried[..1], now);
+    assert_eq!(selected.map(|selected| selected.id), Some("i-2".into()));
+    assert_eq!(scenario.selector.select(request, &tried, now), None);
+}
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -610,6 +610,24 @@
     assert_eq!(scenario.backend.run_count(), 1);
 }
 
+/// Guards against a run that is reported as not run, because a full backend server sends its refusal of
+/// the same attempt a second time: the attempt came again over the same connection.
+#[tokio::test]
+async fn late_copy_of_a_refusal_by_a_full_server_does_not_hide_a_run() {
+    let scenario = Scenario::start().await;
+    *scenario.backend.refusals.lock() = RefusalStyle::Twice;
+    scenario.backend.set(Behaviour::Refuse);
+    let refusal = response_of(scenario.link.call(scenario.call(1))).await;
+    assert_eq!(refusal, RunResult::NotRun(NotRunReason::Refused));
+    scenario.backend.set(Behaviour::Respond);
+    let again = CallFrame {
+        number: 2,
+        ..scenario.call(1)
+    };
+    scenario.expect_response(again).await;
+    assert_eq!(scenario.backend.run_count(), 1);
+}
+
 /// Guards against a run that is reported as not run, because a refusal without the id of an attempt
 /// arrives late, on a connection that is in use again.
 #[tokio::test]
