Close connections only when the other end has received everything

Cause: the daemon discarded what callers send for 1 s after its last response and then dropped the socket, whether or not the caller had received the response. The end of the process did the same to connections on which nothing was open.

Why this works: a connection that the daemon closes stays open until the other end has closed it, at most 20 s; a daemon that stops closes all connections so and waits for that until 0.5 s before the end of its grace period. Connections of peers, whose results could be destroyed in the same way, are closed so, too. Refused uploads that are still being sent are covered by the same path.

Tests, failing before: stopping_daemon_waits_until_callers_have_read_their_responses on ("the daemon has stopped"); closed_connection_stays_until_the_caller_closes_it with 1 s in place of 20 s ("a write: Kind(BrokenPipe)"); closed_connection_of_a_peer_delivers_its_results with the connection dropped ("a close: Elapsed(())").

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -25,6 +25,7 @@
 pub mod mesh_metrics;
 pub mod mesh_settings;
 pub mod monitoring_listener;
+pub mod open_connections;
 pub mod peer_frame;
 pub mod peer_link;
 pub mod peer_links;
--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -14,14 +14,11 @@
 };
 use bytes::BytesMut;
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesOrdered};
-use std::{collections::VecDeque, io};
+use std::{collections::VecDeque, io, pin::pin};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpListener, TcpStream,
-        tcp::{ReadHalf, WriteHalf},
-    },
-    time::{sleep_until, timeout},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    net::TcpListener,
+    time::sleep_until,
 };
 
 /// Delay after a failed accept, for example because no file descriptor was free.
@@ -42,17 +39,17 @@
 /// Longest time for writing a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time for which unread bytes of a caller are discarded after the last response. Closing a
-/// connection with unread bytes resets it, and the caller could lose the response.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-
 /// Accepts connections of callers until the task is dropped.
 pub async fn serve(listener: Arc<TcpListener>, proxy: Arc<EntryProxy>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((mut stream, _)) => {
                 let connection = CallerConnection::new(Arc::clone(&proxy));
-                tokio::spawn(connection.serve(stream));
+                tokio::spawn(async move {
+                    let _ = stream.set_nodelay(true);
+                    let (mut reader, mut writer) = stream.split();
+                    connection.serve(&mut reader, &mut writer).await;
+                });
             }
             Err(error) => {
                 log::warn!("listener: Cannot accept a connection: {error}.");
@@ -100,7 +97,7 @@
 
 /// Connection of one caller. Pipelined requests run concurrently; their responses are written in
 /// request order.
-struct CallerConnection {
+pub struct CallerConnection {
     proxy: Arc<EntryProxy>,
     input: BytesMut,
     read_progress: ReadProgress,
@@ -115,7 +112,8 @@
 }
 
 impl CallerConnection {
-    fn new(proxy: Arc<EntryProxy>) -> Self {
+    /// Creates a connection of which nothing has been read.
+    pub fn new(proxy: Arc<EntryProxy>) -> Self {
         Self {
             idle_since: proxy.state().clock.now(),
             proxy,
@@ -128,10 +126,14 @@
         }
     }
 
-    async fn serve(mut self, mut stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let (mut reader, mut writer) = stream.split();
-        let is_finished = match self.serve_requests(&mut reader, &mut writer).await {
+    /// Serves the connection until it ends.
+    pub async fn serve<R, W>(mut self, reader: &mut R, writer: &mut W)
+    where
+        R: AsyncRead + Unpin,
+        W: AsyncWrite + Unpin,
+    {
+        let open_connection = self.proxy.state().connections.register();
+        let is_finished = match self.serve_requests(reader, writer).await {
             Ok(is_finished) => is_finished,
             Err(error) => {
                 log::debug!("listener: A connection ended early: {error}.");
@@ -140,26 +142,22 @@
         };
         // Cancels the requests of a caller that disconnected.
         drop(self);
-        if is_finished && writer.shutdown().await.is_ok() {
-            let mut rest = BytesMut::with_capacity(READ_BYTES);
-            let discarding = async {
-                while let Ok(1..) = reader.read_buf(&mut rest).await {
-                    rest.clear();
-                }
-            };
-            let _ = timeout(LINGER_TIME, discarding).await;
+        if is_finished {
+            open_connection.close(reader, writer).await;
         }
     }
 
-    /// Serves requests; returns true if the daemon closes the connection after a response.
+    /// Serves requests; returns true if the daemon closes the connection.
     ///
     /// All requests make progress while a response is written: the caller may read it slowly, and the
     /// others hold slots meanwhile.
     async fn serve_requests(
         &mut self,
-        reader: &mut ReadHalf<'_>,
-        writer: &mut WriteHalf<'_>,
+        reader: &mut (impl AsyncRead + Unpin),
+        writer: &mut (impl AsyncWrite + Unpin),
     ) -> io::Result<bool> {
+        let proxy = Arc::clone(&self.proxy);
+        let mut stopping = pin!(proxy.state().connections.stopping());
         loop {
             if self.outgoing.is_none() {
                 self.write_next();
@@ -192,6 +190,7 @@
                     }
                     self.start_complete_requests();
                 }
+                () = &mut stopping, if is_idle => return Ok(true),
                 () = sleep_until(write_deadline.unwrap_or(read_deadline).into()),
                     if is_idle || write_deadline.is_some() =>
                 {
@@ -390,14 +389,17 @@
     }
 }
 
-async fn read_available(reader: &mut ReadHalf<'_>, input: &mut BytesMut) -> io::Result<usize> {
+async fn read_available(
+    reader: &mut (impl AsyncRead + Unpin),
+    input: &mut BytesMut,
+) -> io::Result<usize> {
     input.reserve(READ_BYTES);
     reader.read_buf(input).await
 }
 
 /// Writes a part of a message; waits for ever without one.
 async fn write_rest(
-    writer: &mut WriteHalf<'_>,
+    writer: &mut (impl AsyncWrite + Unpin),
     outgoing: &mut Option<OutgoingMessage>,
 ) -> io::Result<()> {
     let Some(outgoing) = outgoing else {
--- a/src/mesh/connection_end.rs
+++ b/src/mesh/connection_end.rs
@@ -3,8 +3,8 @@
 use crate::{common::*, mesh::peer_frame::FrameError};
 use std::io;
 
-/// Why a connection between two daemons ended. Both sides close with a reset, so only the side that
-/// closed it knows the reason.
+/// Why a connection between two daemons ended. Both sides close with a reset unless the daemon stops, so
+/// only the side that closed it knows the reason.
 #[derive(Debug, Error)]
 pub enum ConnectionEnd {
     /// This side closed the connection: the peer sent no data although it had to respond.
@@ -27,6 +27,9 @@
     /// This side closed the connection: serving it panicked.
     #[error("closed here: serving it panicked")]
     Panicked,
+    /// This side closed the connection: the daemon stops.
+    #[error("closed here: the daemon stops")]
+    Stopping,
     /// The peer closed the connection.
     #[error("closed by the peer")]
     PeerClosed,
--- a/src/mesh/fleet_state.rs
+++ b/src/mesh/fleet_state.rs
@@ -33,6 +33,7 @@
         executor::Executor,
         mesh_metrics::{MeshMetrics, ViewReport},
         mesh_settings::MeshSettings,
+        open_connections::OpenConnections,
         peer_frame::{HelloFrame, LoadFrame},
         store_contact::{StoreContact, UpdateSource},
         store_interface::{StoreFormat, StoreItem},
@@ -74,6 +75,8 @@
     pub retry_budget: Mutex<FleetRetryBudget>,
     /// Allotments of the organisations.
     pub allotments: Mutex<AllotmentLedger>,
+    /// Connections of callers and peers.
+    pub connections: Arc<OpenConnections>,
     /// Metrics.
     pub metrics: MeshMetrics,
     /// Admission of root requests.
@@ -171,6 +174,7 @@
                 clock.now(),
             )),
             config_currency: Mutex::new(ConfigCurrency::new(settings.keys)),
+            connections: Arc::default(),
             metrics: MeshMetrics::new(),
             entry_admission: Mutex::default(),
             planner: Mutex::default(),
@@ -378,6 +382,8 @@
             crashes: self.executor.crash_count(),
             is_server_leaving: self.executor.server.is_leaving(),
             task_panics: self.tasks.panic_counts(),
+            connections: self.connections.count(),
+            closing_connections: self.connections.closing_count(),
         };
         self.metrics.text(self.executor.load(), &view)
     }
--- a/src/mesh/mesh_daemon.rs
+++ b/src/mesh/mesh_daemon.rs
@@ -38,7 +38,7 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::watch,
-    task::JoinSet,
+    task::{AbortHandle, JoinSet},
     time::timeout,
 };
 
@@ -96,12 +96,12 @@
     }
 
     /// Spawns a task that `start` creates, also after each panic.
-    fn spawn<F>(&mut self, name: TaskName, start: impl FnMut() -> F + Send + 'static)
+    fn spawn<F>(&mut self, name: TaskName, start: impl FnMut() -> F + Send + 'static) -> AbortHandle
     where
         F: Future<Output = ()> + Send + 'static,
     {
         let supervisor = Arc::clone(&self.state.tasks);
-        self.tasks.spawn(supervisor.supervise(name, start));
+        self.tasks.spawn(supervisor.supervise(name, start))
     }
 
     /// Spawns a task that works on the state and the links.
@@ -163,11 +163,11 @@
         let state = Arc::clone(&state);
         move || elect_readers(Arc::clone(&state), is_reader.clone())
     });
-    tasks.spawn(task_names::PEER_LISTENER, {
+    let peer_accepting = tasks.spawn(task_names::PEER_LISTENER, {
         let (peer, peer_listener) = (Arc::new(peer), Arc::clone(&peer_listener));
         move || Arc::clone(&peer_listener).serve(Arc::clone(&peer))
     });
-    tasks.spawn(task_names::CALLER_LISTENER, {
+    let caller_accepting = tasks.spawn(task_names::CALLER_LISTENER, {
         let outbound = Arc::new(outbound);
         move || caller_connection::serve(Arc::clone(&outbound), Arc::clone(&proxy))
     });
@@ -218,13 +218,27 @@
     state.start_leaving(latest);
     links.broadcast(&PeerFrame::Leaving);
     wait_until_drained(&state, &peer_listener, latest).await;
+    for accepting in [peer_accepting, caller_accepting] {
+        accepting.abort();
+    }
+    close_connections(&state, latest).await;
     log::info!(
-        "daemon: Stopped with {} open requests.",
-        state.open_requests()
+        "daemon: Stopped with {} open requests and {} open connections.",
+        state.open_requests(),
+        state.connections.count()
     );
     Ok(())
 }
 
+/// Closes all connections and waits until the other ends have received everything and closed them, too,
+/// at most until `latest`. The end of the process closes the rest.
+async fn close_connections(state: &FleetState, latest: Instant) {
+    state.connections.close_all();
+    while state.connections.count() > 0 && state.clock.now() < latest {
+        tokio::time::sleep(FAST_HOUSEKEEPING_INTERVAL).await;
+    }
+}
+
 /// Waits until the clients have disconnected and all requests are completed, or until `latest`.
 async fn wait_until_drained(state: &FleetState, peer_listener: &PeerListener, latest: Instant) {
     let now = state.clock.now();
--- a/src/mesh/mesh_metrics.rs
+++ b/src/mesh/mesh_metrics.rs
@@ -59,6 +59,10 @@
     pub store_position: StorePosition,
     /// Panics of tasks since the start of the process, by task.
     pub task_panics: Vec<(&'static str, u64)>,
+    /// Open connections of callers and peers.
+    pub connections: u64,
+    /// Those that the daemon has closed and the other end has not.
+    pub closing_connections: u64,
 }
 
 type Labels = Vec<(&'static str, String)>;
@@ -97,6 +101,8 @@
     task_panics: Family<Labels, Counter>,
     store_era: Gauge,
     store_revision: Gauge,
+    connections: Gauge,
+    closing_connections: Gauge,
 }
 
 impl MeshMetrics {
@@ -135,6 +141,8 @@
             task_panics: Family::default(),
             store_era: Gauge::default(),
             store_revision: Gauge::default(),
+            connections: Gauge::default(),
+            closing_connections: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -285,6 +293,16 @@
                 "Daemons whose load the admission plan uses",
                 &self.plan_daemons,
             ),
+            (
+                "connections",
+                "Open connections of callers and peers",
+                &self.connections,
+            ),
+            (
+                "closing_connections",
+                "Connections that this daemon has closed and the other end has not",
+                &self.closing_connections,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -351,6 +369,9 @@
         self.published.set(view.is_published.into());
         self.store_readers.set(view.store_readers as i64);
         self.plan_daemons.set(view.plan_daemons as i64);
+        self.connections.set(view.connections as i64);
+        self.closing_connections
+            .set(view.closing_connections as i64);
         self.load_interval.set(view.load_interval.as_secs_f64());
         self.plan_summary_age.set(view.oldest_summary.as_secs_f64());
         self.named_limit.clear();
--- /dev/null
+++ b/src/mesh/open_connections.rs
@@ -0,0 +1,112 @@
+//! Connections to this daemon that are open, and how they are closed.
+
+use crate::common::*;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    sync::watch,
+    time::timeout,
+};
+
+/// Longest time for which a connection that this daemon has closed stays open for the other end to
+/// receive all of it. It is the longest time for writing a response to a caller.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Size of one read of bytes that are discarded.
+const DISCARD_BYTES: usize = 1 << 10;
+
+/// Open connections of callers and peers.
+#[derive(Debug, Default)]
+pub struct OpenConnections {
+    open: AtomicU64,
+    closing: AtomicU64,
+    is_stopping: watch::Sender<bool>,
+}
+
+impl OpenConnections {
+    /// Counts a connection as open until it is closed or dropped.
+    pub fn register(self: &Arc<Self>) -> OpenConnection {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenConnection {
+            connections: Arc::clone(self),
+        }
+    }
+
+    /// Returns the number of connections that are open, including those that are being closed.
+    pub fn count(&self) -> u64 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections that this daemon has closed and the other end has not.
+    pub fn closing_count(&self) -> u64 {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Closes all connections on which nothing is in progress.
+    pub fn close_all(&self) {
+        self.is_stopping.send_replace(true);
+    }
+
+    /// Waits until all connections are to be closed.
+    pub async fn stopping(&self) {
+        let mut is_stopping = self.is_stopping.subscribe();
+        // The sender lives as long as `self`.
+        let _ = is_stopping.wait_for(|is_stopping| *is_stopping).await;
+    }
+}
+
+/// Connection that counts as open.
+#[derive(Debug)]
+pub struct OpenConnection {
+    connections: Arc<OpenConnections>,
+}
+
+impl OpenConnection {
+    /// Closes the connection after its last message, and waits until the other end has closed it, too.
+    ///
+    /// Only then the other end is known to have received everything: data that arrives at a socket
+    /// which is closed resets the connection and destroys what was not delivered yet. What the other
+    /// end still sends is discarded.
+    pub async fn close<R, W>(self, reader: &mut R, writer: &mut W)
+    where
+        R: AsyncRead + Unpin,
+        W: AsyncWrite + Unpin,
+    {
+        if writer.shutdown().await.is_err() {
+            return;
+        }
+        let closing = ClosingConnection::new(self);
+        let mut discarded = vec![0; DISCARD_BYTES];
+        let discarding = async { while let Ok(1..) = reader.read(&mut discarded).await {} };
+        if timeout(CLOSE_TIMEOUT, discarding).await.is_err() {
+            log::debug!("listener: The other end did not close a connection in time.");
+        }
+        drop(closing);
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Connection that this daemon has closed and the other end has not.
+struct ClosingConnection {
+    connection: OpenConnection,
+}
+
+impl ClosingConnection {
+    fn new(connection: OpenConnection) -> Self {
+        let closing = &connection.connections.closing;
+        closing.fetch_add(1, Ordering::Relaxed);
+        Self { connection }
+    }
+}
+
+impl Drop for ClosingConnection {
+    fn drop(&mut self) {
+        let closing = &self.connection.connections.closing;
+        closing.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -17,10 +17,13 @@
     },
 };
 use bytes::BytesMut;
-use std::{io, net::IpAddr};
+use std::{io, net::IpAddr, pin::pin};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{ReadHalf, WriteHalf},
+    },
     sync::{Notify, mpsc},
     task::AbortHandle,
 };
@@ -232,29 +235,40 @@
 impl PeerConnection {
     async fn serve(mut self, mut stream: TcpStream) -> ConnectionEnd {
         let _ = stream.set_nodelay(true);
+        let (mut reader, mut writer) = stream.split();
         let (outbox, inbox) = mpsc::unbounded_channel();
+        let connection = self.listener.state.connections.register();
         let tasks = Arc::clone(&self.listener.state.tasks);
-        let serving = self.run_connection(&mut stream, &outbox, inbox);
+        let serving = self.run_connection(&mut reader, &mut writer, &outbox, inbox);
         let end = tasks.guard(task_names::PEER_CONNECTION, serving).await;
         self.on_disconnect(&outbox);
-        end.unwrap_or(ConnectionEnd::Panicked)
+        let end = end.unwrap_or(ConnectionEnd::Panicked);
+        if matches!(end, ConnectionEnd::Stopping) {
+            connection.close(&mut reader, &mut writer).await;
+        }
+        end
     }
 
     async fn run_connection(
         &mut self,
-        stream: &mut TcpStream,
+        reader: &mut ReadHalf<'_>,
+        writer: &mut WriteHalf<'_>,
         outbox: &Outbox,
         mut inbox: mpsc::UnboundedReceiver<QueuedFrame>,
     ) -> ConnectionEnd {
-        let (mut reader, mut writer) = stream.split();
         let mut input = BytesMut::new();
         let mut output = BytesMut::new();
         let mut batch = Vec::with_capacity(WRITE_BATCH);
         PeerFrame::Hello(self.listener.state.hello()).encode(&mut output);
         let replaced = Arc::clone(&self.replaced);
+        let connections = Arc::clone(&self.listener.state.connections);
+        let mut stopping = pin!(connections.stopping());
         loop {
             tokio::select! {
                 () = replaced.notified() => return ConnectionEnd::Replaced,
+                () = &mut stopping, if output.is_empty() && inbox.is_empty() => {
+                    return ConnectionEnd::Stopping;
+                }
                 written = writer.write_buf(&mut output), if !output.is_empty() => {
                     match written {
                         Ok(0) => return io::Error::from(io::ErrorKind::WriteZero).into(),
--- /dev/null
+++ b/tests/mesh/closing_connections.rs
@@ -0,0 +1,150 @@
+//! Connections of callers that a daemon closes.
+
+use crate::{
+    end_to_end::request,
+    fleet_view::position,
+    http_text::field,
+    stand_ins::{BackendStandIn, config, free_port, loopback},
+};
+use skylarkstream::{
+    decision::clock::SystemClock,
+    mesh::{
+        caller_connection::CallerConnection, entry_proxy::EntryProxy, fleet_state::FleetState,
+        mesh_settings::MeshSettings, peer_links::PeerLinks, store_interface::StoreItem,
+    },
+    platform::{context_names::context_headers, store_format::PlatformStore},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, DuplexStream},
+    task::{JoinHandle, yield_now},
+    time::timeout,
+};
+
+/// Time after which a test fails.
+const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Rounds in which a daemon has read what it can read.
+const SETTLING_ROUNDS: usize = 500;
+
+/// Caller whose connection has a buffer of a known size in each direction.
+struct Caller {
+    state: Arc<FleetState>,
+    _backend: Arc<BackendStandIn>,
+    stream: DuplexStream,
+    serving: JoinHandle<()>,
+}
+
+impl Caller {
+    /// Connects a caller to a daemon whose backend server sends bodies of `body_bytes`.
+    async fn connect(buffer_bytes: usize, body_bytes: usize) -> Self {
+        let backend = loopback(1, free_port());
+        let text = format!(
+            "instance = \"i\"\ndata_centre = \"a\"\nservice = \"s\"\nbackend = \"{backend}\"\n\
+             outbound = \"127.0.0.1:1\"\npeer = \"127.0.0.1:2\"\nreadiness = \"127.0.0.1:3\"\n\
+             store = \"127.0.0.1:4\"\ngrace_s = 60.0\n"
+        );
+        let settings = MeshSettings::from_bytes(text.as_bytes()).expect("settings");
+        let state = Arc::new(FleetState::new(
+            settings,
+            context_headers(),
+            Arc::new(PlatformStore),
+            Arc::new(SystemClock),
+        ));
+        let entry = format!(
+            r#"{{"service":"s","address":"{backend}","zone":"a","version":"v1","slots":200,
+            "state":"ready","cold-remaining-s":0,"sequence":1}}"#
+        );
+        let item = |instance: Option<&str>, value: String| StoreItem {
+            is_config: instance.is_none(),
+            instance: instance.map(Into::into),
+            position: position(1),
+            value: Some(value.into()),
+        };
+        let items = [item(None, config(1)), item(Some("i-1"), entry)];
+        state.apply_store_list(&items, position(1));
+        let backend = BackendStandIn::start(backend, "i-1").await;
+        *backend.body.lock() = Some("x".repeat(body_bytes));
+        let links = PeerLinks::new(Arc::clone(&state));
+        let proxy = Arc::new(EntryProxy::new(Arc::clone(&state), links));
+        let (stream, daemon_stream) = tokio::io::duplex(buffer_bytes);
+        let serving = tokio::spawn(async move {
+            let (mut reader, mut writer) = tokio::io::split(daemon_stream);
+            let connection = CallerConnection::new(proxy);
+            connection.serve(&mut reader, &mut writer).await;
+        });
+        Self {
+            state,
+            _backend: backend,
+            stream,
+            serving,
+        }
+    }
+
+    async fn send(&mut self, text: &str) {
+        let sending = timeout(TEST_TIMEOUT, self.stream.write_all(text.as_bytes()));
+        sending.await.expect("room in time").expect("a write");
+    }
+
+    /// Lets the daemon read what was sent, and the backend server run it.
+    async fn settle(&self) {
+        for _ in 0..SETTLING_ROUNDS {
+            yield_now().await;
+        }
+    }
+
+    /// Reads everything until the daemon closes the connection; returns for each complete response
+    /// whether it says that the connection closes.
+    async fn read_to_end(&mut self) -> Vec<bool> {
+        let mut text = String::new();
+        let reading = self.stream.read_to_string(&mut text);
+        let reading = timeout(TEST_TIMEOUT, reading).await;
+        reading.expect("a close in time").expect("a text");
+        let mut closes = Vec::new();
+        let mut rest = text.as_str();
+        while let Some((head, body)) = rest.split_once("\r\n\r\n") {
+            let length = field(&format!("{head}\r\n\r\n"), "content-length");
+            let length = length.and_then(|length| length.parse::<usize>().ok());
+            let length = length.expect("a length");
+            assert!(body.len() >= length, "a response was cut off");
+            closes.push(head.contains("Connection: close"));
+            rest = &body[length..];
+        }
+        closes
+    }
+}
+
+/// Guards against a response that is lost with a connection that the daemon has closed, since what the
+/// caller sends later resets it; and against callers that hold closed connections for ever.
+#[tokio::test]
+async fn closed_connection_stays_until_the_caller_closes_it() {
+    let last = request("/safe/x", "a").replace("Host", "Connection: close\r\nHost");
+    let upload = "POST /safe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n";
+    for (first, closes_first) in [(last.as_str(), true), (&last, false), (upload, true)] {
+        let mut caller = Caller::connect(128 << 10, 64 << 10).await;
+        caller.send(first).await;
+        let closing = async {
+            while caller.state.connections.closing_count() == 0 {
+                yield_now().await;
+            }
+        };
+        timeout(TEST_TIMEOUT, closing).await.expect("a close");
+        tokio::time::pause();
+        for _ in 0..15 {
+            tokio::time::advance(Duration::from_secs(1)).await;
+            caller.send(&"x".repeat(16 << 10)).await;
+            caller.settle().await;
+        }
+        assert_eq!(caller.state.connections.closing_count(), 1);
+        if closes_first {
+            assert_eq!(caller.read_to_end().await, [true]);
+            drop(caller.stream);
+        } else {
+            tokio::time::advance(Duration::from_secs(10)).await;
+        }
+        tokio::time::resume();
+        let serving = timeout(TEST_TIMEOUT, caller.serving).await;
+        serving.expect("an end in time").expect("no panic");
+        assert_eq!(caller.state.connections.count(), 0);
+    }
+}
--- a/tests/mesh/end_to_end.rs
+++ b/tests/mesh/end_to_end.rs
@@ -368,6 +368,32 @@
     daemon.await.expect("the daemon stops");
 }
 
+/// Guards against a response that is reset by the end of the daemon: its caller has not read it yet, and
+/// sends another request.
+#[tokio::test]
+async fn stopping_daemon_waits_until_callers_have_read_their_responses() {
+    /// Time after which a daemon without connections has stopped.
+    const STOP_TIME: Duration = Duration::from_millis(3_500);
+    let mut fleet = Fleet::start_with(true, false, 120.0).await;
+    let mut stream = TcpStream::connect(fleet.outbound[0])
+        .await
+        .expect("a connection");
+    let text = request("/safe/x", "a");
+    stream.write_all(text.as_bytes()).await.expect("a write");
+    stream.readable().await.expect("a response");
+    fleet.stops[0].send_replace(true);
+    tokio::time::sleep(STOP_TIME).await;
+    assert!(!fleet.daemons[0].is_finished(), "the daemon has stopped");
+    stream.write_all(text.as_bytes()).await.expect("a write");
+    let mut received = String::new();
+    let reading = stream.read_to_string(&mut received).await;
+    reading.expect("an end without a reset");
+    assert!(received.ends_with("ran a"), "{received}");
+    drop(stream);
+    let daemon = fleet.daemons.remove(0);
+    daemon.await.expect("the daemon stops");
+}
+
 /// Guards against runs that continue after their client has disconnected.
 #[tokio::test]
 async fn run_is_cancelled_when_its_client_disconnects() {
--- a/tests/mesh/peer_link.rs
+++ b/tests/mesh/peer_link.rs
@@ -687,3 +687,48 @@
     };
     timeout(TEST_TIMEOUT, ending).await.expect("an end");
 }
+
+/// Guards against a result that is reset by the end of the daemon beside the backend server, since its
+/// peer goes on to send while it reads.
+#[tokio::test]
+async fn closed_connection_of_a_peer_delivers_its_results() {
+    let scenario = Scenario::start().await;
+    let mut stream = TcpStream::connect(scenario.peer)
+        .await
+        .expect("a connection");
+    let mut bytes = BytesMut::new();
+    PeerFrame::Hello(FrameObserver::default().hello(loopback(9, 0))).encode(&mut bytes);
+    PeerFrame::Call(Box::new(scenario.call(1))).encode(&mut bytes);
+    stream.write_all(&bytes).await.expect("a write");
+    let running = async {
+        let unfinished =
+            || scenario.listener.running_count() + scenario.state.open_requests() as usize;
+        while scenario.backend.run_count() == 0 || unfinished() > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(TEST_TIMEOUT, running).await.expect("a result");
+    let connections = &scenario.state.connections;
+    connections.close_all();
+    let closing = async {
+        while connections.closing_count() == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(TEST_TIMEOUT, closing).await.expect("a close");
+    bytes.clear();
+    PeerFrame::Ping.encode(&mut bytes);
+    stream.write_all(&bytes).await.expect("a write");
+    let mut received = Vec::new();
+    let reading = stream.read_to_end(&mut received).await;
+    reading.expect("an end without a reset");
+    let result = b"i-1 ran a1";
+    assert!(received.windows(result.len()).any(|part| part == result));
+    drop(stream);
+    let ending = async {
+        while connections.count() > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(TEST_TIMEOUT, ending).await.expect("an end");
+}
