Start no request behind a response that closes its connection

Cause: the decision to close was a field of the message that was written, and whether requests are read a field of the connection. Between the decision and the last byte of the message the daemon went on to read and start requests, and then dropped them with the connection.

Why this works: a connection is open, with a reader of requests, or closing, without one, and which response closes it follows from that state alone. A stopping daemon closes only where no byte of a further request has arrived, so that a request that is half read is answered, too.

Test, failing before: stopping_daemon_answers_each_request_that_it_starts on with a stream of known buffer size ("row 0", left: 2, right: 1).

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -30,6 +30,7 @@
 pub mod peer_link;
 pub mod peer_links;
 pub mod peer_listener;
+pub mod request_reader;
 pub mod resolved_request;
 pub mod sender_connections;
 pub mod server_state;
--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -2,14 +2,13 @@
 
 use crate::{
     common::*,
-    http1::{
-        body_decoder::BodyDecoder,
-        message_head::{MessageError, RequestHead},
-    },
+    decision::mesh::route_table::CallerLimits,
+    http1::message_head::MessageError,
     mesh::{
         caller_response::{CallerRequest, CallerResponse, LocalReason},
         entry_proxy::EntryProxy,
         fleet_state::OpenRequest,
+        request_reader::RequestReader,
     },
 };
 use bytes::BytesMut;
@@ -59,25 +58,18 @@
     }
 }
 
-/// Progress in reading the next request.
-enum ReadProgress {
-    /// The head is incomplete; `since` is the time of its first byte.
-    Head { since: Option<Instant> },
-    /// The body is incomplete.
-    Body {
-        head: Box<RequestHead>,
-        decoder: BodyDecoder,
-        body: BytesMut,
-    },
-    /// No further request is read.
-    Closed,
+/// What becomes of the bytes that the caller sends.
+enum ReadSide {
+    /// They are requests.
+    Open(RequestReader),
+    /// They are discarded: no further request starts, and the connection closes after the response to
+    /// the last one that has started.
+    Closing { discarded: BytesMut },
 }
 
 /// Response that is ready to be written.
 struct ReadyResponse {
     response: CallerResponse,
-    /// Whether the caller asked to close the connection after the response.
-    closes_connection: bool,
     /// Keeps the request open until the response is written, unless it was rejected unread.
     open: Option<OpenRequest>,
 }
@@ -88,8 +80,6 @@
 struct OutgoingMessage {
     /// Rest of the message.
     rest: BytesMut,
-    /// Whether the connection is closed after the message.
-    closes_connection: bool,
     deadline: Instant,
     /// Keeps the request open until the message is written.
     _open: Option<OpenRequest>,
@@ -99,8 +89,7 @@
 /// request order.
 pub struct CallerConnection {
     proxy: Arc<EntryProxy>,
-    input: BytesMut,
-    read_progress: ReadProgress,
+    read_side: ReadSide,
     /// Requests in progress, and those that completed before an earlier one.
     responses: FuturesOrdered<ResponseFuture>,
     /// Responses that wait until the one before them is written.
@@ -117,8 +106,7 @@
         Self {
             idle_since: proxy.state().clock.now(),
             proxy,
-            input: BytesMut::new(),
-            read_progress: ReadProgress::Head { since: None },
+            read_side: ReadSide::Open(RequestReader::new()),
             responses: FuturesOrdered::new(),
             ready: VecDeque::new(),
             outgoing: None,
@@ -166,8 +154,7 @@
                 return Ok(false);
             }
             let is_idle = self.responses.is_empty() && self.outgoing.is_none();
-            let is_reading =
-                !self.has_disconnected && (self.has_room() || self.input.len() < READ_AHEAD_BYTES);
+            let is_reading = self.is_reading();
             let read_deadline = self.read_deadline();
             let write_deadline = self.outgoing.as_ref().map(|outgoing| outgoing.deadline);
             // Most responses are written at once. The timer of the write is used only for the others.
@@ -182,13 +169,16 @@
                 Some(ready) = self.responses.next(), if !self.responses.is_empty() => {
                     self.ready.push_back(ready);
                 }
-                read = read_available(reader, &mut self.input), if is_reading => {
+                read = read_available(reader, self.read_side.input()), if is_reading => {
                     if read? == 0 {
                         // Cancels the requests in progress; what is ready is still written.
                         self.responses.clear();
                         self.has_disconnected = true;
                     }
-                    self.start_complete_requests();
+                    match &mut self.read_side {
+                        ReadSide::Open(_) => self.start_complete_requests(),
+                        ReadSide::Closing { discarded } => discarded.clear(),
+                    }
                 }
                 () = &mut stopping, if is_idle => return Ok(true),
                 () = sleep_until(write_deadline.unwrap_or(read_deadline).into()),
@@ -197,7 +187,7 @@
                     if write_deadline.is_some() {
                         return Err(io::ErrorKind::TimedOut.into());
                     }
-                    if matches!(self.read_progress, ReadProgress::Head { since: None }) {
+                    if self.read_side.is_between_requests() {
                         return Ok(true);
                     }
                     self.push_local(LocalReason::SlowCaller);
@@ -219,28 +209,50 @@
         unfinished < MAX_PIPELINED && unwritten < MAX_UNWRITTEN_BYTES
     }
 
-    /// Begins to write the next response that is ready.
+    /// Returns whether bytes of the caller are read. Without room for another request, some are read
+    /// ahead.
+    fn is_reading(&self) -> bool {
+        let has_room = match &self.read_side {
+            ReadSide::Open(reader) => self.has_room() || reader.input.len() < READ_AHEAD_BYTES,
+            ReadSide::Closing { .. } => true,
+        };
+        has_room && !self.has_disconnected
+    }
+
+    /// Begins to write the next response that is ready. While the daemon is leaving, the connection
+    /// closes after a response behind which the caller has sent nothing.
     fn write_next(&mut self) {
         let Some(ready) = self.ready.pop_front() else {
             return;
         };
-        let is_last = self.responses.is_empty() && self.ready.is_empty() && self.input.is_empty();
-        let closes_connection = ready.closes_connection
-            || ready.response.closes_connection
-            || (self.proxy.state().is_leaving() && is_last);
-        let message = ready.response.encode(closes_connection);
-        self.write_message(message, closes_connection, ready.open);
+        let is_leaving = self.proxy.state().is_leaving();
+        if is_leaving && !self.has_unwritten() && self.read_side.is_between_requests() {
+            self.stop_reading();
+        }
+        let message = ready.response.encode(self.closes_next());
+        self.write_message(message, ready.open);
     }
 
-    fn write_message(
-        &mut self,
-        rest: BytesMut,
-        closes_connection: bool,
-        open: Option<OpenRequest>,
-    ) {
+    /// Returns whether a response is not being written yet, or its request is in progress.
+    fn has_unwritten(&self) -> bool {
+        !self.responses.is_empty() || !self.ready.is_empty()
+    }
+
+    /// Returns whether the connection closes after the message that is written next or now.
+    fn closes_next(&self) -> bool {
+        matches!(self.read_side, ReadSide::Closing { .. }) && !self.has_unwritten()
+    }
+
+    /// Starts no further request of the connection, which closes after the responses to the others.
+    fn stop_reading(&mut self) {
+        self.read_side = ReadSide::Closing {
+            discarded: BytesMut::new(),
+        };
+    }
+
+    fn write_message(&mut self, rest: BytesMut, open: Option<OpenRequest>) {
         self.outgoing = Some(OutgoingMessage {
             rest,
-            closes_connection,
             deadline: self.proxy.state().clock.now() + WRITE_TIMEOUT,
             _open: open,
         });
@@ -250,39 +262,51 @@
     /// it.
     fn finish_write(&mut self) -> bool {
         let is_written = |outgoing: &mut OutgoingMessage| outgoing.rest.is_empty();
-        let Some(written) = self.outgoing.take_if(is_written) else {
+        if self.outgoing.take_if(is_written).is_none() {
             return false;
-        };
+        }
         self.idle_since = self.proxy.state().clock.now();
+        if self.closes_next() {
+            return true;
+        }
         // Requests for which there was no room are in the buffer.
-        if !self.input.is_empty() && !written.closes_connection {
+        if !self.read_side.input().is_empty() {
             self.start_complete_requests();
         }
-        written.closes_connection
+        false
     }
 
     /// Returns when an idle connection or an incomplete request times out. An incomplete body times
     /// out like an idle connection: `idle_timeout` after the last received data or written
     /// response.
     fn read_deadline(&self) -> Instant {
-        let limits = self.proxy.state().routes().map(|routes| routes.limits());
-        let limits = limits.unwrap_or_default();
-        match &self.read_progress {
-            ReadProgress::Head { since: Some(since) } => *since + limits.header_timeout,
-            _ => self.idle_since + limits.idle_timeout,
+        let limits = self.limits();
+        match self.read_side.head_since() {
+            Some(since) => since + limits.header_timeout,
+            None => self.idle_since + limits.idle_timeout,
         }
     }
 
+    fn limits(&self) -> CallerLimits {
+        let routes = self.proxy.state().routes();
+        routes.map(|routes| routes.limits()).unwrap_or_default()
+    }
+
     /// Starts all requests that have been read completely, as long as there is room.
     fn start_complete_requests(&mut self) {
         self.idle_since = self.proxy.state().clock.now();
         while self.has_room() && !self.has_disconnected {
-            match self.take_request() {
+            let (limits, now) = (self.limits(), self.proxy.state().clock.now());
+            let ReadSide::Open(reader) = &mut self.read_side else {
+                return;
+            };
+            match reader.take_request(&limits, now) {
                 Ok(Some(request)) => self.start(request),
                 Ok(None) => {
-                    if self.is_continue_due() {
+                    let is_idle = self.outgoing.is_none() && !self.has_unwritten();
+                    if is_idle && self.read_side.expects_continue() {
                         let message = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
-                        self.write_message(message, false, None);
+                        self.write_message(message, None);
                     }
                     break;
                 }
@@ -294,57 +318,15 @@
         }
     }
 
-    fn take_request(&mut self) -> Result<Option<CallerRequest>, MessageError> {
-        let limits = self.proxy.state().routes().map(|routes| routes.limits());
-        let limits = limits.unwrap_or_default();
-        if let ReadProgress::Head { since } = &mut self.read_progress {
-            let Some(head) = RequestHead::parse(&mut self.input, limits.header_bytes)? else {
-                *since = match *since {
-                    _ if self.input.is_empty() => None,
-                    None => Some(self.proxy.state().clock.now()),
-                    since => since,
-                };
-                return Ok(None);
-            };
-            self.read_progress = ReadProgress::Body {
-                decoder: BodyDecoder::new(head.body_length()?),
-                head: Box::new(head),
-                body: BytesMut::new(),
-            };
-        }
-        if let ReadProgress::Body { decoder, body, .. } = &mut self.read_progress {
-            let is_done = decoder.decode(&mut self.input, body, limits.body_bytes)?;
-            if !is_done {
-                return Ok(None);
-            }
-        }
-        let next = ReadProgress::Head { since: None };
-        match std::mem::replace(&mut self.read_progress, next) {
-            ReadProgress::Body { head, body, .. } => Ok(Some(CallerRequest {
-                head: *head,
-                body: body.freeze(),
-                received: self.proxy.state().clock.now(),
-            })),
-            // After `Closed`, further data of the caller is discarded.
-            read_progress => {
-                self.read_progress = read_progress;
-                self.input.clear();
-                Ok(None)
-            }
-        }
-    }
-
     fn start(&mut self, request: CallerRequest) {
         let proxy = Arc::clone(&self.proxy);
-        let closes_connection = !request.head.keeps_connection();
-        if closes_connection {
-            self.read_progress = ReadProgress::Closed;
+        if !request.head.keeps_connection() {
+            self.stop_reading();
         }
         let open: OpenRequest = proxy.state().open_request();
         self.responses.push_back(Box::pin(async move {
             ReadyResponse {
                 response: proxy.serve(request).await,
-                closes_connection,
                 open: Some(open),
             }
         }));
@@ -365,28 +347,44 @@
     /// Responds to a request that was not read whole, and closes the connection after the response.
     fn push_local(&mut self, reason: LocalReason) {
         let response = self.proxy.local_response(reason, &[], Duration::ZERO);
-        self.read_progress = ReadProgress::Closed;
+        self.stop_reading();
         let ready = ReadyResponse {
             response,
-            closes_connection: true,
             open: None,
         };
         self.responses
             .push_back(Box::pin(std::future::ready(ready)));
     }
+}
+
+impl ReadSide {
+    fn reader(&self) -> Option<&RequestReader> {
+        match self {
+            Self::Open(reader) => Some(reader),
+            Self::Closing { .. } => None,
+        }
+    }
 
-    fn is_continue_due(&self) -> bool {
-        match &self.read_progress {
-            ReadProgress::Body { head, body, .. } => {
-                body.is_empty()
-                    && self.responses.is_empty()
-                    && self.ready.is_empty()
-                    && self.outgoing.is_none()
-                    && head.headers.has_token("Expect", "100-continue")
-            }
-            _ => false,
+    /// Returns the buffer for what the caller sends.
+    fn input(&mut self) -> &mut BytesMut {
+        match self {
+            Self::Open(reader) => &mut reader.input,
+            Self::Closing { discarded } => discarded,
         }
     }
+
+    fn is_between_requests(&self) -> bool {
+        self.reader()
+            .is_some_and(RequestReader::is_between_requests)
+    }
+
+    fn expects_continue(&self) -> bool {
+        self.reader().is_some_and(RequestReader::expects_continue)
+    }
+
+    fn head_since(&self) -> Option<Instant> {
+        self.reader().and_then(RequestReader::head_since)
+    }
 }
 
 async fn read_available(
--- a/src/mesh/caller_response.rs
+++ b/src/mesh/caller_response.rs
@@ -125,14 +125,6 @@
     pub fn is_overload(self) -> bool {
         matches!(self, Self::Busy | Self::Expired)
     }
-
-    /// Returns whether the connection is closed after the response.
-    pub fn closes_connection(self) -> bool {
-        matches!(
-            self,
-            Self::Malformed | Self::HeadTooLarge | Self::BodyTooLarge | Self::SlowCaller
-        )
-    }
 }
 
 /// Response to a caller.
@@ -144,8 +136,6 @@
     pub header_lines: Bytes,
     /// Whole body.
     pub body: Bytes,
-    /// Whether the connection is closed after the response.
-    pub closes_connection: bool,
 }
 
 impl CallerResponse {
@@ -155,7 +145,6 @@
             status: response.status,
             header_lines: response.head,
             body: response.body,
-            closes_connection: false,
         }
     }
 
@@ -184,7 +173,6 @@
             status: reason.status(),
             header_lines: header_lines.freeze(),
             body: Bytes::new(),
-            closes_connection: reason.closes_connection(),
         }
     }
 
--- a/tests/mesh/closing_connections.rs
+++ b/tests/mesh/closing_connections.rs
@@ -4,7 +4,7 @@
     end_to_end::request,
     fleet_view::position,
     http_text::field,
-    stand_ins::{BackendStandIn, config, free_port, loopback},
+    stand_ins::{BackendStandIn, Behaviour, config, free_port, loopback},
 };
 use skylarkstream::{
     decision::clock::SystemClock,
@@ -14,7 +14,10 @@
     },
     platform::{context_names::context_headers, store_format::PlatformStore},
 };
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream},
     task::{JoinHandle, yield_now},
@@ -30,7 +33,7 @@
 /// Caller whose connection has a buffer of a known size in each direction.
 struct Caller {
     state: Arc<FleetState>,
-    _backend: Arc<BackendStandIn>,
+    backend: Arc<BackendStandIn>,
     stream: DuplexStream,
     serving: JoinHandle<()>,
 }
@@ -75,7 +78,7 @@
         });
         Self {
             state,
-            _backend: backend,
+            backend,
             stream,
             serving,
         }
@@ -93,6 +96,16 @@
         }
     }
 
+    fn stop_daemon(&self) {
+        let latest = Instant::now() + Duration::from_secs(60);
+        self.state.start_leaving(latest);
+    }
+
+    fn release_runs(&self) {
+        self.backend.set(Behaviour::Respond);
+        self.backend.release.notify_waiters();
+    }
+
     /// Reads everything until the daemon closes the connection; returns for each complete response
     /// whether it says that the connection closes.
     async fn read_to_end(&mut self) -> Vec<bool> {
@@ -114,6 +127,49 @@
     }
 }
 
+/// Guards against a request that is passed on although its connection closes: the daemon stops, and the
+/// request comes before, while or after the last response is written.
+#[tokio::test]
+async fn stopping_daemon_answers_each_request_that_it_starts() {
+    let whole = |attempt: &str| request("/safe/x", attempt);
+    let upload = "POST /safe/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: b\r\nDeadline-Ms: 15000\r\n\
+                  Content-Length: 4\r\n\r\n";
+    let (half, rest) = upload.split_at(30);
+    // What is sent before the stop, after it, and while the first response is written; and for each
+    // request that is answered whether its response closes the connection.
+    let rows = [
+        ("", "", whole("b"), vec![true]),
+        ("", &whole("b"), String::new(), vec![false, true]),
+        (&whole("b"), "", whole("c"), vec![false, false, true]),
+        (upload, "", "body".into(), vec![false, true]),
+        (half, "", rest.to_owned() + "body", vec![false, true]),
+        (
+            upload,
+            "bo",
+            "dy".to_owned() + &whole("c"),
+            vec![false, false, true],
+        ),
+    ];
+    for (row, (before, after, meanwhile, closes)) in rows.into_iter().enumerate() {
+        let mut caller = Caller::connect(1_024, 64 << 10).await;
+        caller.backend.set(Behaviour::Hold);
+        caller.send(&(whole("a") + before)).await;
+        caller.settle().await;
+        caller.stop_daemon();
+        caller.send(after).await;
+        caller.settle().await;
+        caller.release_runs();
+        let mut first = [0; 1];
+        let reading = timeout(TEST_TIMEOUT, caller.stream.read_exact(&mut first));
+        reading.await.expect("a response in time").expect("a byte");
+        caller.send(&meanwhile).await;
+        caller.settle().await;
+        let started = caller.state.open_requests();
+        assert_eq!(started, closes.len() as u64, "row {row}");
+        assert_eq!(caller.read_to_end().await, closes, "row {row}");
+    }
+}
+
 /// Guards against a response that is lost with a connection that the daemon has closed, since what the
 /// caller sends later resets it; and against callers that hold closed connections for ever.
 #[tokio::test]
