Take a response without a length as complete only without an error

Cause: a reset is reported once. The write of the upload got the error, which was ignored if there was a response, and the read saw an ordinary end, which completes a response without a length. Without an upload, or with a length, the read gets the error or finds the response too short.

Why this works: ResponseEnd states it once: a response that ends with its connection is complete only if the request was written without an error.

Test, failing before on: response_ends_with_its_connection_only_without_an_error ("part Reset": left: Some("part"), right: None), for both readers, beside a half-closed connection and a refusal with a length, which stay complete.

--- a/src/http1/client_connection.rs
+++ b/src/http1/client_connection.rs
@@ -4,7 +4,7 @@
     body_decoder::{BodyDecoder, BodyLength},
     byte_budget::{ByteBudget, ReservedBytes},
     message_head::{MessageError, ResponseHead},
-    response_rules::StatusClass,
+    response_rules::{ResponseEnd, StatusClass},
 };
 use crate::common::*;
 use bytes::{Bytes, BytesMut};
@@ -73,6 +73,8 @@
     pub head: ResponseHead,
     /// Whole body.
     pub body: Bytes,
+    /// What shows that the response has ended.
+    pub end: ResponseEnd,
     /// Whether the connection can carry another request.
     pub is_reusable: bool,
     /// Whether the request was the first one on its connection.
@@ -146,21 +148,28 @@
         };
         let reading = incoming.read(is_head, limits, matches_request);
         tokio::pin!(writing, reading);
-        tokio::select! {
+        let (written, response) = tokio::select! {
             biased;
-            written = &mut writing => {
-                // A server that rejects a request early may close the connection, so that the write
-                // fails although there is a response.
-                let response = reading.await;
-                match (written, response) {
-                    (_, Ok(response)) => Ok(response),
-                    (Err(error), Err(_)) => Err(error.into()),
-                    (Ok(()), Err(error)) => Err(error),
+            written = &mut writing => (Some(written), reading.await),
+            response = &mut reading => (None, response),
+        };
+        match (written, response) {
+            (Some(Ok(())), response) => response,
+            (Some(Err(error)), Err(_)) => Err(error.into()),
+            (None, Err(error)) => Err(error),
+            // A server that rejects a request early may close the connection, so that the write fails
+            // although there is a response.
+            (written, Ok(response)) => {
+                if !response.end.is_complete(false) {
+                    match written {
+                        Some(written) => written?,
+                        None => writing.await?,
+                    }
                 }
-            }
-            response = &mut reading => {
-                // The request was not fully written, so the connection cannot be reused.
-                response.map(|response| ServerResponse { is_reusable: false, ..response })
+                Ok(ServerResponse {
+                    is_reusable: false,
+                    ..response
+                })
             }
         }
     }
@@ -194,13 +203,18 @@
                 *self.skipped_response = true;
                 continue;
             }
+            let end = match length {
+                BodyLength::UntilClose => ResponseEnd::Connection,
+                BodyLength::Fixed(_) | BodyLength::Chunked => ResponseEnd::Framing,
+            };
             let is_reusable = head.keeps_connection()
-                && length != BodyLength::UntilClose
+                && end == ResponseEnd::Framing
                 && self.buffer.is_empty()
                 && !*self.skipped_response;
             return Ok(ServerResponse {
                 head,
                 body,
+                end,
                 is_reusable,
                 is_first: self.is_first,
             });
--- a/tests/mesh/response_rules.rs
+++ b/tests/mesh/response_rules.rs
@@ -157,6 +157,22 @@
     }
 }
 
+/// Guards against a part of a response that is returned as complete: it has no length, and its
+/// connection is reset while the request is still being written.
+#[tokio::test]
+async fn response_ends_with_its_connection_only_without_an_error() {
+    let upload = vec![b'x'; UPLOAD_BYTES];
+    let unframed = b"HTTP/1.1 200 OK\r\n\r\npart";
+    let framed = b"HTTP/1.1 413 S\r\nContent-Length: 4\r\n\r\npart";
+    for (response, end, expected) in [
+        (&unframed[..], ConnectionEnd::Reset, None),
+        (unframed, ConnectionEnd::HalfClose, Some("part")),
+        (framed, ConnectionEnd::HalfClose, Some("part")),
+    ] {
+        check(response, end, &upload, expected).await;
+    }
+}
+
 /// Guards against a status that a daemon of an earlier build passes on from its backend server.
 #[test]
 fn invalid_status_from_a_peer_is_an_invalid_response() {
