Close connections of the product's own listeners in the same way

The related path of the responses that were reset after the close: hyper shuts the sending side of a connection down and drops the socket at once, so that what a caller still sends destroys a response that it has not received.

ClosingStream waits in its shutdown until the other end has closed the connection, at most 20 s, and both paths use it. A drain still ends at the latest deadline of an accepted request.

Test, failing without the ClosingStream ("a write: Kind(BrokenPipe)"): own_listener_keeps_a_closed_connection_until_the_caller_closes_it.

--- a/src/http1.rs
+++ b/src/http1.rs
@@ -7,6 +7,7 @@
 pub mod body_decoder;
 pub mod byte_budget;
 pub mod client_connection;
+pub mod closing_stream;
 pub mod header_list;
 pub mod message_head;
 pub mod response_rules;
--- a/src/mesh/open_connections.rs
+++ b/src/mesh/open_connections.rs
@@ -1,20 +1,12 @@
 //! Connections to this daemon that are open, and how they are closed.
 
-use crate::common::*;
+use crate::{common::*, http1::closing_stream::ClosingStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt},
     sync::watch,
-    time::timeout,
 };
 
-/// Longest time for which a connection that this daemon has closed stays open for the other end to
-/// receive all of it. It is the longest time for writing a response to a caller.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Size of one read of bytes that are discarded.
-const DISCARD_BYTES: usize = 1 << 10;
-
 /// Open connections of callers and peers.
 #[derive(Debug, Default)]
 pub struct OpenConnections {
@@ -63,25 +55,16 @@
 
 impl OpenConnection {
     /// Closes the connection after its last message, and waits until the other end has closed it, too.
-    ///
-    /// Only then the other end is known to have received everything: data that arrives at a socket
-    /// which is closed resets the connection and destroys what was not delivered yet. What the other
-    /// end still sends is discarded.
     pub async fn close<R, W>(self, reader: &mut R, writer: &mut W)
     where
         R: AsyncRead + Unpin,
         W: AsyncWrite + Unpin,
     {
-        if writer.shutdown().await.is_err() {
-            return;
-        }
-        let closing = ClosingConnection::new(self);
-        let mut discarded = vec![0; DISCARD_BYTES];
-        let discarding = async { while let Ok(1..) = reader.read(&mut discarded).await {} };
-        if timeout(CLOSE_TIMEOUT, discarding).await.is_err() {
-            log::debug!("listener: The other end did not close a connection in time.");
+        let _closing = ClosingConnection::new(self);
+        let mut stream = ClosingStream::new(tokio::io::join(reader, writer));
+        if let Err(error) = stream.shutdown().await {
+            log::debug!("listener: Cannot close a connection: {error}.");
         }
-        drop(closing);
     }
 }
 
--- a/src/shell/http_server.rs
+++ b/src/shell/http_server.rs
@@ -1,6 +1,6 @@
 //! HTTP listener that calls a gotham handler for each request.
 
-use crate::common::*;
+use crate::{common::*, http1::closing_stream::ClosingStream};
 use futures_util::FutureExt;
 use gotham::{handler::NewHandler, service::call_handler, state::State};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -78,7 +78,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_READ_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(ClosingStream::new(stream)), service);
         let connection = self.graceful.watch(connection);
         self.tasks.spawn(async move {
             if let Err(error) = connection.await {
--- a/tests/mesh/closing_connections.rs
+++ b/tests/mesh/closing_connections.rs
@@ -6,8 +6,12 @@
     http_text::field,
     stand_ins::{BackendStandIn, Behaviour, config, free_port, loopback},
 };
+use http::Response;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
 use skylarkstream::{
     decision::clock::SystemClock,
+    http1::closing_stream::ClosingStream,
     mesh::{
         caller_connection::CallerConnection, entry_proxy::EntryProxy, fleet_state::FleetState,
         mesh_settings::MeshSettings, peer_links::PeerLinks, store_interface::StoreItem,
@@ -15,6 +19,7 @@
     platform::{context_names::context_headers, store_format::PlatformStore},
 };
 use std::{
+    convert::Infallible,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -204,3 +209,29 @@
         assert_eq!(caller.state.connections.count(), 0);
     }
 }
+
+/// Guards against a response that is lost with a connection which the product's own listeners have
+/// closed.
+#[tokio::test(start_paused = true)]
+async fn own_listener_keeps_a_closed_connection_until_the_caller_closes_it() {
+    let (mut stream, server_stream) = tokio::io::duplex(64 << 10);
+    let service = service_fn(async |_| Ok::<_, Infallible>(Response::new("body".to_owned())));
+    let connection = http1::Builder::new()
+        .serve_connection(TokioIo::new(ClosingStream::new(server_stream)), service);
+    let serving = tokio::spawn(connection);
+    let text = request("/safe/x", "a").replace("Host", "Connection: close\r\nHost");
+    let writing = stream.write_all(text.as_bytes());
+    writing.await.expect("a write");
+    for _ in 0..15 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        stream.write_all(text.as_bytes()).await.expect("a write");
+    }
+    assert!(!serving.is_finished(), "the connection has ended");
+    let mut received = String::new();
+    let reading = stream.read_to_string(&mut received).await;
+    reading.expect("an end");
+    assert!(received.ends_with("body"), "{received}");
+    drop(stream);
+    let serving = serving.await.expect("no panic");
+    serving.expect("a clean end");
+}
