Wait at a stop only for ends that can still receive something

Cause: since a daemon that stops waits until all other ends have closed their connections. Peers in a data centre that is cut off cannot, so that each planned stop during a cut took 5.5 s in place of 2.5 s, without a listener.

A connection is waited for only if its last message can still be on its way: 20 s after a response to a caller, 1.1 s after a result for a peer, whose sender has given a silent connection up by then.

--- a/src/http1/closing_stream.rs
+++ b/src/http1/closing_stream.rs
@@ -13,7 +13,7 @@
 
 /// Longest time for which a stream stays open after the shutdown of its sending side. It is the longest
 /// time for writing a response to a caller.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(20);
+pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Size of one read of bytes that are discarded.
 const DISCARD_BYTES: usize = 1 << 10;
--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -3,11 +3,12 @@
 use crate::{
     common::*,
     decision::mesh::route_table::CallerLimits,
-    http1::message_head::MessageError,
+    http1::{closing_stream::CLOSE_TIMEOUT, message_head::MessageError},
     mesh::{
         caller_response::{CallerRequest, CallerResponse, LocalReason},
         entry_proxy::EntryProxy,
         fleet_state::OpenRequest,
+        open_connections::OpenConnection,
         request_reader::RequestReader,
     },
 };
@@ -89,6 +90,7 @@
 /// request order.
 pub struct CallerConnection {
     proxy: Arc<EntryProxy>,
+    open_connection: OpenConnection,
     read_side: ReadSide,
     /// Requests in progress, and those that completed before an earlier one.
     responses: FuturesOrdered<ResponseFuture>,
@@ -105,6 +107,7 @@
     pub fn new(proxy: Arc<EntryProxy>) -> Self {
         Self {
             idle_since: proxy.state().clock.now(),
+            open_connection: proxy.state().connections.register(),
             proxy,
             read_side: ReadSide::Open(RequestReader::new()),
             responses: FuturesOrdered::new(),
@@ -120,7 +123,6 @@
         R: AsyncRead + Unpin,
         W: AsyncWrite + Unpin,
     {
-        let open_connection = self.proxy.state().connections.register();
         let is_finished = match self.serve_requests(reader, writer).await {
             Ok(is_finished) => is_finished,
             Err(error) => {
@@ -128,10 +130,13 @@
                 false
             }
         };
+        let now = self.proxy.state().clock.now();
+        let open_connection = self.open_connection;
         // Cancels the requests of a caller that disconnected.
-        drop(self);
+        drop(self.responses);
         if is_finished {
-            open_connection.close(reader, writer).await;
+            let closing = open_connection.close(reader, writer, CLOSE_TIMEOUT, now);
+            closing.await;
         }
     }
 
@@ -266,6 +271,7 @@
             return false;
         }
         self.idle_since = self.proxy.state().clock.now();
+        self.open_connection.record_message(self.idle_since);
         if self.closes_next() {
             return true;
         }
--- a/src/mesh/open_connections.rs
+++ b/src/mesh/open_connections.rs
@@ -21,6 +21,7 @@
         self.open.fetch_add(1, Ordering::Relaxed);
         OpenConnection {
             connections: Arc::clone(self),
+            last_message: None,
         }
     }
 
@@ -51,15 +52,32 @@
 #[derive(Debug)]
 pub struct OpenConnection {
     connections: Arc<OpenConnections>,
+    /// When the last message was written that the other end has to receive.
+    last_message: Option<Instant>,
 }
 
 impl OpenConnection {
-    /// Closes the connection after its last message, and waits until the other end has closed it, too.
-    pub async fn close<R, W>(self, reader: &mut R, writer: &mut W)
-    where
+    /// Records that a message was written which the other end has to receive.
+    pub fn record_message(&mut self, now: Instant) {
+        self.last_message = Some(now);
+    }
+
+    /// Closes the connection. If its last message was written within `delivery_time`, waits until the
+    /// other end has closed it, too. An end that cannot be reached would hold up the stop of the daemon
+    /// for nothing.
+    pub async fn close<R, W>(
+        self,
+        reader: &mut R,
+        writer: &mut W,
+        delivery_time: Duration,
+        now: Instant,
+    ) where
         R: AsyncRead + Unpin,
         W: AsyncWrite + Unpin,
     {
+        if self.last_message.is_none_or(|at| at + delivery_time <= now) {
+            return;
+        }
         let _closing = ClosingConnection::new(self);
         let mut stream = ClosingStream::new(tokio::io::join(reader, writer));
         if let Err(error) = stream.shutdown().await {
--- a/src/mesh/peer_listener.rs
+++ b/src/mesh/peer_listener.rs
@@ -7,6 +7,7 @@
         connection_end::ConnectionEnd,
         fleet_state::{FleetState, OpenRequest},
         forwarded_caller,
+        open_connections::OpenConnection,
         peer_frame::{
             CallFrame, HelloFrame, LoadFrame, NotRunReason, PeerFrame, ReplyFrame, RunResult,
             UnknownReason,
@@ -37,6 +38,10 @@
 /// `CONNECT_TIMEOUT`).
 const ORPHAN_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Time after which a result that its sender has not received is lost: the sender has detected that the
+/// connection is silent (see `ORPHAN_TIMEOUT`) and closed it.
+const RESULT_DELIVERY_TIME: Duration = Duration::from_millis(1_100);
+
 /// Time in transit beyond which a request is refused as expired.
 const MAX_TRANSIT_TIME: Duration = Duration::from_millis(1_000);
 
@@ -72,6 +77,7 @@
                 Ok((stream, address)) => {
                     let connection = PeerConnection {
                         listener: Arc::clone(&self),
+                        open_connection: self.state.connections.register(),
                         sender_id: None,
                         peer_ip: None,
                         replaced: Arc::default(),
@@ -221,6 +227,7 @@
 /// Connection from one peer.
 struct PeerConnection {
     listener: Arc<PeerListener>,
+    open_connection: OpenConnection,
     sender_id: Option<u64>,
     peer_ip: Option<IpAddr>,
     /// Notified when the sender has opened a newer connection.
@@ -237,14 +244,16 @@
         let _ = stream.set_nodelay(true);
         let (mut reader, mut writer) = stream.split();
         let (outbox, inbox) = mpsc::unbounded_channel();
-        let connection = self.listener.state.connections.register();
         let tasks = Arc::clone(&self.listener.state.tasks);
         let serving = self.run_connection(&mut reader, &mut writer, &outbox, inbox);
         let end = tasks.guard(task_names::PEER_CONNECTION, serving).await;
         self.on_disconnect(&outbox);
         let end = end.unwrap_or(ConnectionEnd::Panicked);
         if matches!(end, ConnectionEnd::Stopping) {
-            connection.close(&mut reader, &mut writer).await;
+            let now = self.listener.state.clock.now();
+            let connection = self.open_connection;
+            let closing = connection.close(&mut reader, &mut writer, RESULT_DELIVERY_TIME, now);
+            closing.await;
         }
         end
     }
@@ -272,7 +281,7 @@
                 written = writer.write_buf(&mut output), if !output.is_empty() => {
                     match written {
                         Ok(0) => return io::Error::from(io::ErrorKind::WriteZero).into(),
-                        Ok(_) if output.is_empty() => self.unwritten.clear(),
+                        Ok(_) if output.is_empty() => self.finish_write(),
                         Ok(_) => {}
                         Err(error) => return error.into(),
                     }
@@ -309,6 +318,15 @@
         }
     }
 
+    /// Closes the requests whose results are written.
+    fn finish_write(&mut self) {
+        if !self.unwritten.is_empty() {
+            self.unwritten.clear();
+            let now = self.listener.state.clock.now();
+            self.open_connection.record_message(now);
+        }
+    }
+
     fn receive(&mut self, frame: PeerFrame, output: &mut BytesMut) {
         let listener = Arc::clone(&self.listener);
         let Some(sender) = self.sender_id else {
