Order the entries at one address by the start of their servers

A store that was restored from an older copy shows the entry of an earlier start at a later position, until the server writes its own again. Its position would have made it the current one, and each request would have needed a second send after a 421. The entry of the local server was chosen by the start before.

server_with_two_entries_is_selected_once has such an entry now.

--- a/src/decision/mesh/fleet_view.rs
+++ b/src/decision/mesh/fleet_view.rs
@@ -349,17 +349,17 @@
         self.members.iter().map(|(id, state)| (id, &state.entry))
     }
 
-    /// Returns the members without those whose address a later entry has. A backend server that was
-    /// replaced at its address has ended, although its entry has not expired yet.
+    /// Returns the members without those whose address a later start of a backend server has. The
+    /// entry of a server that has ended stays until it expires.
     pub fn current_members(&self) -> impl Iterator<Item = (&SmolStr, &BackendEntry)> {
-        let mut latest: IndexMap<SocketAddr, StorePosition> = IndexMap::new();
+        let mut latest: IndexMap<SocketAddr, StartOrder> = IndexMap::new();
         for state in self.members.values() {
-            let position = latest.entry(state.entry.address).or_default();
-            *position = state.position.max(*position);
+            let order = latest.entry(state.entry.address).or_default();
+            *order = state.start_order().max(*order);
         }
         self.members
             .iter()
-            .filter(move |(_, state)| latest[&state.entry.address] == state.position)
+            .filter(move |(_, state)| latest[&state.entry.address] == state.start_order())
             .map(|(id, state)| (id, &state.entry))
     }
 
@@ -369,7 +369,15 @@
     }
 }
 
+/// Order of the entries with one address: by the start of the backend server, which a restored store
+/// does not change, and then by their position.
+type StartOrder = (Option<u64>, StorePosition);
+
 impl MemberState {
+    fn start_order(&self) -> StartOrder {
+        (self.entry.started_ms, self.position)
+    }
+
     fn known(&self) -> KnownEntry {
         let stamp = self.entry.write_stamp();
         let leaves = self.removal.is_some() || self.entry.state == ServingState::Draining;
--- a/tests/mesh/instance_selector.rs
+++ b/tests/mesh/instance_selector.rs
@@ -281,13 +281,18 @@
 #[test]
 fn server_with_two_entries_is_selected_once() {
     let mut scenario = Scenario::new(2);
-    let restarted = VersionedEntry {
-        id: "i-3".into(),
-        position: position(9),
-        value: Some(entry(SERVICE, "10.0.0.1:80", ServingState::Ready)),
-    };
     let now = scenario.clock.now();
-    scenario.view.apply(&restarted, now);
+    // The last one is the entry of an earlier start, which a restored store shows again.
+    for (id, revision, started_ms) in [("i-3", 8, 1), ("i-4", 9, 0)] {
+        let mut restarted = entry(SERVICE, "10.0.0.1:80", ServingState::Ready);
+        restarted.started_ms = Some(started_ms);
+        let versioned_entry = VersionedEntry {
+            id: id.into(),
+            position: position(revision),
+            value: Some(restarted),
+        };
+        scenario.view.apply(&versioned_entry, now);
+    }
     scenario.selector.update(&scenario.view, now);
     let counts = scenario.run(50, false, |_| {
         let time = Duration::from_millis(50);
