Free the buffers of a connection before its close

A connection that waits for the other end kept its buffers of up to 64 KiB: the fields that were not moved out of it lived until the end of the wait.

--- a/src/mesh/caller_connection.rs
+++ b/src/mesh/caller_connection.rs
@@ -131,15 +131,18 @@
             }
         };
         let now = self.proxy.state().clock.now();
-        let open_connection = self.open_connection;
-        // Cancels the requests of a caller that disconnected.
-        drop(self.responses);
+        let open_connection = self.into_open_connection();
         if is_finished {
             let closing = open_connection.close(reader, writer, CLOSE_TIMEOUT, now);
             closing.await;
         }
     }
 
+    /// Frees the buffers, and cancels the requests of a caller that disconnected.
+    fn into_open_connection(self) -> OpenConnection {
+        self.open_connection
+    }
+
     /// Serves requests; returns true if the daemon closes the connection.
     ///
     /// All requests make progress while a response is written: the caller may read it slowly, and the
