review: show queued calls that start at a draining server (case 13)

Calls that wait for a slot at the daemon beside a server are sent to it later than drain-s after the store has confirmed that it is draining (rule DRAIN), since the daemon does not check the published state again when a slot becomes free.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -225,7 +225,7 @@
         note(&format!("upstream {} turns slow", leaving.id));
         is_slow.store(true, Ordering::Relaxed);
     }
-    sleep_ms(500);
+    sleep_ms(620);
     leaving.register(&store, "draining");
     let confirmed = seconds();
     note(&format!("the store confirmed that {} is draining", leaving.id));
@@ -235,7 +235,7 @@
     store.put(&format!("servers/{}", leaving.id), None);
     traffic.finish(Duration::from_secs(8));
     let runs = leaving.runs.lock().unwrap().clone();
-    let late: Vec<_> = runs.iter().filter(|run| run.at > confirmed + DRAIN_S + 0.1).collect();
+    let late: Vec<_> = runs.iter().filter(|run| run.at > confirmed + DRAIN_S).collect();
     let after: usize = runs.iter().filter(|run| run.at > confirmed).count();
     for run in &late {
         say(&format!(
