--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -29,7 +29,7 @@
         std::process::exit(2);
     });
     let code = match name.as_str() {
-        "late-work" => late_work(&folder),
+        "uploads" => uploads(&folder),
         "chunks" => chunks(&folder),
         "reset-readers" => reset_readers(&folder),
         _ => could_not_run("no such case"),
@@ -141,122 +141,6 @@
     }
 }
 
-/// A draining upstream gets work that waited at its daemon for longer than `drain-s`.
-fn late_work(folder: &Path) -> i32 {
-    const DRAIN_S: f64 = 2.0;
-    const LOOKUP_MS: u64 = 225;
-    const SLOWER: u64 = 12;
-    let places = [
-        ("a", "front"),
-        ("b", "front"),
-        ("c", "front"),
-        ("a", "desk"),
-        ("b", "desk"),
-        ("c", "desk"),
-    ];
-    let (machines, store) = machines(&places, folder);
-    let routes = [
-        Route {
-            name: "assign",
-            kind: "unsafe",
-            service: "front",
-            timeout_s: 5.0,
-            target_s: 1.5,
-            priority: 0,
-            max_attempts: 2,
-        },
-        Route {
-            name: "lookup",
-            kind: "safe",
-            service: "desk",
-            timeout_s: 3.0,
-            target_s: 1.2,
-            priority: 1,
-            max_attempts: 2,
-        },
-    ];
-    store.put("op/config", Some(&config(12, &routes, &["front", "desk"])));
-    let is_slow: Arc<AtomicBool> = Arc::default();
-    let mut upstreams = Vec::new();
-    for (number, machine) in machines.iter().enumerate() {
-        let is_front = machine.service == "front";
-        let is_first_desk = number == 3;
-        let slow = Arc::clone(&is_slow);
-        let work: Box<Work> = if is_front {
-            Box::new(|upstream, request| {
-                sleep_ms(40);
-                let call = Ask::new("GET", "/lookup/x", 3_000);
-                note(&format!("upstream {} calls {}", upstream.id, call.id));
-                let seen = ask(upstream.outbound, &call);
-                note(&format!("upstream {} got for {}: {}", upstream.id, call.id, seen.text()));
-                match seen.status() {
-                    200 => Some(upstream.ok(request, b"assigned")),
-                    _ => Some(upstream.reply(request, 500, b"")),
-                }
-            })
-        } else {
-            Box::new(move |upstream, request| {
-                let is_slow = is_first_desk && slow.load(Ordering::Relaxed);
-                let ms = LOOKUP_MS * if is_slow { SLOWER } else { 1 };
-                let budget = request.header("Deadline-Ms").and_then(|text| text.parse().ok());
-                let budget = budget.unwrap_or(u64::MAX);
-                sleep_ms(ms.min(budget));
-                match ms < budget {
-                    true => Some(upstream.ok(request, b"found")),
-                    false => Some(upstream.reply(request, 504, b"")),
-                }
-            })
-        };
-        let slots = if is_front { 91 } else { 6 };
-        let id = format!("i-{number}{:06x}", std::process::id());
-        let upstream = Upstream::start(&id, &machine.service, &machine.zone, machine, slots, work);
-        upstream.register(&store, "ready");
-        upstreams.push(upstream);
-    }
-    let daemons: Vec<_> = machines.iter().map(Daemon::start).collect();
-    if !wait_ready(&daemons, Duration::from_secs(10)) {
-        return could_not_run("the daemons are not ready");
-    }
-    sleep_ms(3_000);
-    let traffic = Traffic::start(&machines, 10.0, || Ask::new("POST", "/assign/x", 5_000));
-    sleep_ms(10_000);
-    let leaving = &upstreams[3];
-    if has_trouble() {
-        note(&format!("upstream {} turns slow", leaving.id));
-        is_slow.store(true, Ordering::Relaxed);
-    }
-    sleep_ms(620);
-    leaving.register(&store, "draining");
-    let confirmed = seconds();
-    note(&format!("the store confirmed that {} is draining", leaving.id));
-    // It serves for `drain-s` and a little longer.
-    sleep_ms(3_500);
-    leaving.end();
-    store.put(&format!("servers/{}", leaving.id), None);
-    traffic.finish(Duration::from_secs(8));
-    let runs = leaving.runs.lock().unwrap().clone();
-    let late: Vec<_> = runs.iter().filter(|run| run.at > confirmed + DRAIN_S).collect();
-    let after: usize = runs.iter().filter(|run| run.at > confirmed).count();
-    for run in &late {
-        say(&format!(
-            "request {} reached {} {:.3} s after the store confirmed that it is draining",
-            run.attempt_id,
-            leaving.id,
-            run.at - confirmed
-        ));
-    }
-    say(&format!(
-        "{} runs at {}, {after} after the confirmation, {} later than drain-s",
-        runs.len(),
-        leaving.id,
-        late.len()
-    ));
-    if runs.len() < 20 {
-        return could_not_run("hardly any work reached the upstream");
-    }
-    i32::from(!late.is_empty())
-}
-
 /// An upstream's chunked answer ends early in bytes that are no chunk.
 fn chunks(folder: &Path) -> i32 {
     let places = [("a", "front"), ("a", "desk")];
@@ -421,3 +305,112 @@
     say(&format!("{late} requests reached upstreams later than drain-s"));
     i32::from(late > 0)
 }
+
+/// Clients send bodies within the limits of the config, and daemons exceed their memory.
+fn uploads(folder: &Path) -> i32 {
+    // `memory-mb` is 260; the platform kills a process that exceeds it.
+    const MEMORY_KB: u64 = 260 * 1024;
+    const ROUNDS: usize = 3;
+    const AT_ONCE: usize = 4;
+    let body_bytes = if has_trouble() { 60 << 20 } else { 24 << 10 };
+    let places = [("a", "front"), ("b", "front"), ("a", "desk"), ("b", "desk")];
+    let (machines, store) = machines(&places, folder);
+    let routes = [Route {
+        name: "assign",
+        kind: "unsafe",
+        service: "desk",
+        timeout_s: 5.0,
+        target_s: 1.5,
+        priority: 0,
+        max_attempts: 2,
+    }];
+    store.put("op/config", Some(&config(12, &routes, &["front", "desk"])));
+    let mut upstreams = Vec::new();
+    for (number, machine) in machines.iter().enumerate() {
+        let work: Box<Work> = Box::new(|upstream, request| {
+            sleep_ms(210);
+            Some(upstream.ok(request, b"assigned"))
+        });
+        let id = format!("i-{number}{:06x}", std::process::id());
+        let upstream = Upstream::start(&id, &machine.service, &machine.zone, machine, 121, work);
+        upstream.register(&store, "ready");
+        upstreams.push(upstream);
+    }
+    let daemons: Vec<_> = machines.iter().map(Daemon::start).collect();
+    if !wait_ready(&daemons, Duration::from_secs(10)) {
+        return could_not_run("the daemons are not ready");
+    }
+    sleep_ms(2_000);
+    let kills: Vec<Arc<AtomicUsize>> = daemons.iter().map(|_| Arc::default()).collect();
+    let is_over: Arc<AtomicBool> = Arc::default();
+    let watchers: Vec<_> = daemons
+        .iter()
+        .zip(&kills)
+        .map(|(daemon, count)| {
+            let (daemon, count) = (Arc::clone(daemon), Arc::clone(count));
+            let is_over = Arc::clone(&is_over);
+            thread::spawn(move || {
+                let mut peak = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    let used = resident_kb(daemon.pid());
+                    peak = peak.max(used);
+                    if used > MEMORY_KB {
+                        say(&format!("daemon {} holds {used} KiB", daemon.machine.name));
+                        daemon.kill();
+                        count.fetch_add(1, Ordering::Relaxed);
+                        sleep_ms(500);
+                        daemon.launch();
+                    }
+                    sleep_ms(2);
+                }
+                say(&format!("daemon {} held {peak} KiB at most", daemon.machine.name));
+            })
+        })
+        .collect();
+    let mut answers: BTreeMap<u16, usize> = BTreeMap::new();
+    for round in 0..ROUNDS {
+        for machine in &machines[..2] {
+            let clients: Vec<_> = (0..AT_ONCE)
+                .map(|_| {
+                    let address = machine.outbound();
+                    thread::spawn(move || {
+                        let mut request = Ask::new("POST", "/assign/x", 5_000);
+                        request.body = vec![b'b'; body_bytes];
+                        note(&format!(
+                            "client at {} sends {} with {body_bytes} bytes",
+                            address.ip(),
+                            request.id
+                        ));
+                        let seen = ask(address, &request);
+                        note(&format!("client got for {}: {}", request.id, seen.text()));
+                        seen.status()
+                    })
+                })
+                .collect();
+            for client in clients {
+                *answers.entry(client.join().unwrap_or(0)).or_default() += 1;
+            }
+        }
+        note(&format!("round {round} is over"));
+        if !wait_ready(&daemons, Duration::from_secs(10)) {
+            return could_not_run("a daemon is not ready again");
+        }
+        sleep_ms(3_000);
+    }
+    is_over.store(true, Ordering::Relaxed);
+    for watcher in watchers {
+        let _ = watcher.join();
+    }
+    let kills: Vec<usize> = kills.iter().map(|count| count.load(Ordering::Relaxed)).collect();
+    say(&format!("answers by status (0: none): {answers:?}"));
+    say(&format!("ends by memory, by machine: {kills:?}"));
+    i32::from(kills.iter().filter(|count| **count >= 3).count() >= 2)
+}
+
+/// Returns the resident memory of a process.
+fn resident_kb(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+        .unwrap_or(0)
+}
--- a/review/standins-3/lab.rs
+++ b/review/standins-3/lab.rs
@@ -1005,7 +1005,7 @@
         .map(|name| format!(r#"{{"name":"{name}","health-path":"/health"}}"#))
         .collect();
     format!(
-        r#"{{"version":"r{version}","routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout-s":3,"idle-timeout-s":15}}}}"#,
+        r#"{{"version":"r{version}","routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}}}}"#,
         routes.join(","),
         services.join(",")
     )
