--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// Takes a connection that has been idle for less than four fifths of `idle-timeout-s`.
+fn take_kept(pool: &Mutex<Vec<(Connection, Instant)>>) -> Option<Connection> {
+    const MAX_IDLE: Duration = Duration::from_secs(12);
+    let mut pool = pool.lock().unwrap();
+    pool.retain(|(_, since)| since.elapsed() < MAX_IDLE);
+    pool.pop().map(|(connection, _)| connection)
+}
+
 /// Sends requests of one route at a machine at even intervals, each on a kept connection that is free.
 struct Traffic {
     is_stopping: Arc<AtomicBool>,
@@ -85,7 +93,7 @@
             let is_stopping = Arc::clone(&traffic.is_stopping);
             let open = Arc::clone(&traffic.open);
             let answers = Arc::clone(&traffic.answers);
-            let pool: Arc<Mutex<Vec<Connection>>> = Arc::default();
+            let pool: Arc<Mutex<Vec<(Connection, Instant)>>> = Arc::default();
             thread::spawn(move || {
                 let start = Instant::now();
                 let mut count = 0;
@@ -98,7 +106,7 @@
                     open.fetch_add(1, Ordering::Relaxed);
                     thread::spawn(move || {
                         let request = make();
-                        let kept = pool.lock().unwrap().pop();
+                        let kept = take_kept(&pool);
                         let seen = match kept.map_or_else(|| Connection::open(address), Ok) {
                             Ok(mut connection) => {
                                 note(&format!(
@@ -112,7 +120,7 @@
                                 if let Seen::Answer(answer) = &seen
                                     && answer.header("Connection") != Some("close")
                                 {
-                                    pool.lock().unwrap().push(connection);
+                                    pool.lock().unwrap().push((connection, Instant::now()));
                                 }
                                 seen
                             }
@@ -228,10 +236,10 @@
 fn reset_readers(folder: &Path) -> i32 {
     const DRAIN_S: f64 = 2.0;
     // A third of the machines.
-    const RESETS: usize = 4;
+    const RESETS: usize = 5;
     let mut places = Vec::new();
     for zone in ["a", "b", "c"] {
-        places.extend([(zone, "front"), (zone, "front"), (zone, "desk"), (zone, "desk")]);
+        places.extend([(zone, "front"), (zone, "desk"), (zone, "desk"), (zone, "desk"), (zone, "desk")]);
     }
     let (machines, store) = machines(&places, folder);
     let routes = [Route {
@@ -263,40 +271,40 @@
     let traffic = Traffic::start(&machines, 8.0, || Ask::new("POST", "/assign/x", 5_000));
     sleep_ms(5_000);
     note(&format!("machines that watch the store: {:?}", store.watching()));
-    let (mut late, mut lost_at) = (0, Vec::new());
-    // Upstreams of three zones leave, one after the other.
-    for number in [2, 6, 10] {
-        let leaving = &upstreams[number];
+    let mut late = 0;
+    // Two upstreams of different zones leave at a time.
+    for pair in [[1, 6], [7, 11], [12, 2], [3, 8]] {
+        let beside = pair.map(|number: usize| machines[number].store.ip());
         let reset: Vec<IpAddr> = match has_trouble() {
-            true => store
-                .reset_watches(RESETS, machines[number].store.ip())
-                .iter()
-                .map(|ip| machine_ip(*ip))
-                .collect(),
+            true => store.reset_watches(RESETS, &beside),
             false => Vec::new(),
         };
+        let reset: Vec<IpAddr> = reset.iter().map(|ip| machine_ip(*ip)).collect();
         sleep_ms(200);
-        store.put(&format!("servers/{}", leaving.id), None);
+        for number in pair {
+            store.put(&format!("servers/{}", upstreams[number].id), None);
+        }
         let confirmed = seconds();
-        note(&format!("the store confirmed that {} is gone", leaving.id));
-        // It serves for `drain-s` and a little longer.
+        note("the store confirmed that both upstreams are gone");
+        // They serve for `drain-s` and a little longer.
         sleep_ms(2_350);
-        leaving.end();
-        lost_at.push(leaving.id.clone());
-        for run in leaving.runs.lock().unwrap().iter() {
-            // Requests that a machine took whose connections were reset do not count.
-            let sent_at = sent_at(&run.attempt_id);
-            let is_in_touch = sent_at.is_some_and(|ip| !reset.contains(&ip));
-            if run.at > confirmed + DRAIN_S && is_in_touch {
-                late += 1;
-                say(&format!(
-                    "request {} from {:?} reached {} {:.3} s after the store confirmed that it is \
-                     gone",
-                    run.attempt_id,
-                    sent_at,
-                    leaving.id,
-                    run.at - confirmed
-                ));
+        for number in pair {
+            let leaving = &upstreams[number];
+            leaving.end();
+            for run in leaving.runs.lock().unwrap().iter() {
+                // Requests that a machine took whose connections were reset do not count.
+                let taken_at = sent_at(&run.attempt_id);
+                let is_in_touch = taken_at.is_some_and(|ip| !reset.contains(&ip));
+                if run.at > confirmed + DRAIN_S && is_in_touch {
+                    late += 1;
+                    say(&format!(
+                        "request {} from {taken_at:?} reached {} {:.3} s after the store confirmed \
+                         that it is gone",
+                        run.attempt_id,
+                        leaving.id,
+                        run.at - confirmed
+                    ));
+                }
             }
         }
         sleep_ms(6_000);
--- a/review/standins-3/lab.rs
+++ b/review/standins-3/lab.rs
@@ -74,6 +74,12 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+/// Returns a random number.
+pub fn random() -> u64 {
+    use std::hash::{BuildHasher, RandomState};
+    RandomState::new().hash_one(NEXT_ID.load(Ordering::Relaxed))
+}
+
 /// Returns the id of a new client attempt.
 pub fn new_id() -> String {
     let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
@@ -253,12 +259,12 @@
     }
 
     /// Resets the connections of some machines whose watches wait; returns those machines.
-    /// The one that calls at `spared` is not among them.
-    pub fn reset_watches(&self, count: usize, spared: IpAddr) -> Vec<IpAddr> {
+    /// Those that call at `spared` are not among them.
+    pub fn reset_watches(&self, count: usize, spared: &[IpAddr]) -> Vec<IpAddr> {
         let mut machines = self.watching.lock().unwrap().clone();
         machines.sort_unstable();
         machines.dedup();
-        machines.retain(|machine| *machine != spared);
+        machines.retain(|machine| !spared.contains(machine));
         machines.truncate(count);
         note(&format!("the store connections of {machines:?} are reset"));
         *self.resets.lock().unwrap() = machines.clone();
@@ -288,7 +294,8 @@
                 reset_on_close(&writer);
                 return;
             };
-            sleep_ms(4);
+            // An answer takes about 4 ms, and answers to several callers come in any order.
+            thread::sleep(Duration::from_micros(3_000 + random() % 2_000));
             let text = format!(
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: 0\r\n\
                  Content-Length: {}\r\n\r\n{body}",
