http1: refuse chunk size lines and trailers that are none

The same decoder reads requests, so that a caller could smuggle one behind a body that looked ended.

Cause: `httparse::parse_chunk_size` returns 0 for a line without a digit, and the decoder took the 0 for the last chunk. Not the end of the connection: a body that is cut off without the empty lines was an error before.

The grammar of RFC 9112, section 7.1, now stands in `http1/chunked_coding.rs`, and the decoder accepts nothing else.

--- a/src/http1.rs
+++ b/src/http1.rs
@@ -6,6 +6,7 @@
 
 pub mod body_decoder;
 pub mod byte_budget;
+pub mod chunked_coding;
 pub mod client_connection;
 pub mod closing_stream;
 pub mod header_list;
--- a/src/http1/body_decoder.rs
+++ b/src/http1/body_decoder.rs
@@ -1,14 +1,20 @@
 //! Incremental decoder for message bodies.
 
-use super::message_head::MessageError;
+use super::{
+    chunked_coding::{is_trailer_field, parse_chunk_size},
+    message_head::MessageError,
+};
 use bytes::{Buf, BytesMut};
 
-/// Longest chunk size line in bytes.
+/// Longest chunk size line in bytes, with its end.
 const MAX_LINE_BYTES: usize = 8 << 10;
 
 /// Largest trailer section in bytes.
 const MAX_TRAILER_BYTES: usize = 8 << 10;
 
+/// End of each line of the chunked transfer coding. A single line feed is no line end in it.
+const LINE_END: &[u8] = b"\r\n";
+
 /// How a body is framed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyLength {
@@ -104,39 +110,38 @@
                 self.state = DecoderState::ChunkEnd;
             }
             DecoderState::ChunkSize => {
-                let parsed = httparse::parse_chunk_size(input).map_err(|_| MessageError::Chunk)?;
-                let httparse::Status::Complete((length, size)) = parsed else {
-                    return check_incomplete_line(input);
+                // A sender of garbage may keep the connection open without ending the line.
+                if input.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+                    return Err(MessageError::Chunk);
+                }
+                let Some(line) = take_line(input, MAX_LINE_BYTES)? else {
+                    return Ok(false);
                 };
-                input.advance(length);
-                self.state = match size {
+                self.state = match parse_chunk_size(&line).ok_or(MessageError::Chunk)? {
                     0 => DecoderState::Trailers(0),
                     size => DecoderState::ChunkData(size),
                 };
             }
             DecoderState::ChunkEnd => {
-                if input.len() < 2 {
+                if input.len() < LINE_END.len() {
                     return Ok(false);
                 }
-                if !input.starts_with(b"\r\n") {
+                if !input.starts_with(LINE_END) {
                     return Err(MessageError::Chunk);
                 }
-                input.advance(2);
+                input.advance(LINE_END.len());
                 self.state = DecoderState::ChunkSize;
             }
             DecoderState::Trailers(read) => {
-                let end = input.windows(2).position(|pair| pair == b"\r\n");
-                let total = read + end.map_or(input.len(), |end| end + 2);
-                if total > MAX_TRAILER_BYTES {
-                    return Err(MessageError::Chunk);
-                }
-                let Some(end) = end else {
+                let Some(line) = take_line(input, MAX_TRAILER_BYTES - read)? else {
                     return Ok(false);
                 };
-                input.advance(end + 2);
-                self.state = match end {
-                    0 => DecoderState::Done,
-                    _ => DecoderState::Trailers(total),
+                self.state = if line.is_empty() {
+                    DecoderState::Done
+                } else if is_trailer_field(&line) {
+                    DecoderState::Trailers(read + line.len() + LINE_END.len())
+                } else {
+                    return Err(MessageError::Chunk);
                 };
             }
         }
@@ -154,9 +159,18 @@
     length as u64
 }
 
-fn check_incomplete_line(input: &BytesMut) -> Result<bool, MessageError> {
-    if input.len() > MAX_LINE_BYTES {
+/// Removes the next line from `input` and returns it without its end; returns `None` while it is
+/// incomplete. A line of more than `max_bytes` with its end is an error.
+fn take_line(input: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, MessageError> {
+    let mut windows = input.windows(LINE_END.len());
+    let end = windows.position(|bytes| bytes == LINE_END);
+    if end.map_or(input.len(), |end| end + LINE_END.len()) > max_bytes {
         return Err(MessageError::Chunk);
     }
-    Ok(false)
+    let Some(end) = end else {
+        return Ok(None);
+    };
+    let line = input.split_to(end);
+    input.advance(LINE_END.len());
+    Ok(Some(line))
 }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod attempt_history;
+mod chunked_coding;
 mod closing_connections;
 mod crash_suspects;
 mod crashing_requests;
--- a/tests/mesh/response_rules.rs
+++ b/tests/mesh/response_rules.rs
@@ -93,15 +93,35 @@
     let statuses = ["000", "001", "099", "101", "600", "700", "999"];
     let invalid_statuses =
         statuses.map(|status| format!("HTTP/1.1 {status} S\r\nContent-Length: 2\r\n\r\nok"));
+    let lengths = [
+        "",
+        "+2",
+        "-2",
+        "0x2",
+        "2 2",
+        "2,",
+        "2;",
+        "2\r\nContent-Length: 3",
+    ];
+    let invalid_lengths =
+        lengths.map(|length| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\nok"));
+    let lines = "HTTP/1.1  200 OK|HTTP/1.1 +20 OK|HTTP/1.1 2000 OK|HTTP/1.1 200OK|HTTP/2.0 200 OK|\
+                 http/1.1 200 OK| HTTP/1.1 200 OK|HTTP/1.1 200 O\0K"
+        .split('|');
+    let invalid_lines = lines.map(|line| format!("{line}\r\nContent-Length: 2\r\n\r\nok"));
     let incomplete = [
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n;x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n \r\n\r\n",
         "HTTP/1.1 200 OK\r\nA: b",
         "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
         "not HTTP\r\n\r\n",
         "",
     ];
     let texts = invalid_fields.chain(invalid_statuses);
+    let texts = texts.chain(invalid_lengths).chain(invalid_lines);
     for text in texts.chain(incomplete.map(String::from)) {
         check(&text, serve_bytes(text.as_str()).await, b"", None).await;
     }
@@ -113,6 +133,10 @@
             "ok",
         ),
         ("HTTP/1.1 200 OK\r\n\r\nto the end", "to the end"),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n05;x=\"y\"\r\nwhole\r\n0\r\nT: 1\r\n\r\n",
+            "whole",
+        ),
     ];
     for (text, body) in sound {
         check(text, serve_bytes(text).await, b"", Some(body)).await;
