http1: refuse messages of HTTP/1.0 with a transfer coding

Found while looking at related paths of the truncated chunked bodies: a chunked message of HTTP/1.0 was decoded, though programs of that version see the end of its body elsewhere. A request gets 400, a response is invalid.

Failed before: `ambiguous_lengths_are_refused` (left: Ok(Chunked), right: Err(Length)) and the row of HTTP/1.0 in `invalid_and_incomplete_responses_are_errors` (left: Some("ok")).

--- a/src/http1/message_head.rs
+++ b/src/http1/message_head.rs
@@ -87,7 +87,7 @@
 
     /// Returns how the body is framed.
     pub fn body_length(&self) -> Result<BodyLength, MessageError> {
-        if is_chunked(&self.headers)? {
+        if is_chunked(self.is_http11, &self.headers)? {
             return Ok(BodyLength::Chunked);
         }
         let length = content_length(&self.headers)?;
@@ -132,7 +132,7 @@
         if is_head || is_interim || matches!(self.status, 204 | 304) {
             return Ok(BodyLength::Fixed(0));
         }
-        if is_chunked(&self.headers)? {
+        if is_chunked(self.is_http11, &self.headers)? {
             return Ok(BodyLength::Chunked);
         }
         let length = content_length(&self.headers)?;
@@ -191,13 +191,15 @@
     let _ = buffer.split_to(empty);
 }
 
-fn is_chunked(headers: &HeaderList) -> Result<bool, MessageError> {
+fn is_chunked(is_http11: bool, headers: &HeaderList) -> Result<bool, MessageError> {
     let mut encodings = headers.all("Transfer-Encoding");
     let Some(encoding) = encodings.next() else {
         return Ok(false);
     };
     let has_chunked_coding = encoding.trim_ascii().eq_ignore_ascii_case(b"chunked");
-    let is_unambiguous = encodings.next().is_none() && headers.get("Content-Length").is_none();
+    // Programs of HTTP/1.0 do not know the coding, so that they see the end of the body elsewhere.
+    let is_unambiguous =
+        is_http11 && encodings.next().is_none() && headers.get("Content-Length").is_none();
     if has_chunked_coding && is_unambiguous {
         Ok(true)
     } else {
--- a/tests/mesh/http1_framing.rs
+++ b/tests/mesh/http1_framing.rs
@@ -28,6 +28,14 @@
         let head = head(&text).expect("a head").expect("a complete head");
         assert_eq!(head.body_length(), Err(MessageError::Length), "{lines}");
     }
+    for (version, expected) in [
+        ("1.0", Err(MessageError::Length)),
+        ("1.1", Ok(BodyLength::Chunked)),
+    ] {
+        let text = format!("POST / HTTP/{version}\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let head = head(&text).expect("a head").expect("a complete head");
+        assert_eq!(head.body_length(), expected, "{version}");
+    }
     assert!(head("GET / HTTP/1.1\r\nA : b\r\n\r\n").is_err());
 }
 
--- a/tests/mesh/response_rules.rs
+++ b/tests/mesh/response_rules.rs
@@ -115,6 +115,7 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n;x\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n \r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nA: b",
         "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
         "not HTTP\r\n\r\n",
