members: do not take a slow store for an outage

Calls that all succeed show that there was no outage. `slow_store_is_no_outage` failed before: assertion failed: !fleet.users("a").contains(&reader).

--- a/src/decision/mesh/store_outage.rs
+++ b/src/decision/mesh/store_outage.rs
@@ -18,7 +18,8 @@
 ///
 /// The store counts as having been in an outage if this daemon knows of no response to any daemon for so
 /// long that entries can have expired. A failed call shows only that the connection of one daemon failed:
-/// the store may turn some daemons away while it serves the others.
+/// the store may turn some daemons away while it serves the others. Calls that all succeed show that there
+/// was none, however late the responses are.
 #[derive(Debug)]
 pub struct OutageTracker {
     min_outage: Duration,
@@ -26,6 +27,8 @@
     last_contact: Option<Instant>,
     /// Time of the first failed call of this daemon since the last response to it.
     failing_since: Option<Instant>,
+    /// Whether the store has responded to this daemon since it began to call it.
+    has_response: bool,
     /// End of the last outage.
     recovered_at: Option<Instant>,
 }
@@ -38,6 +41,7 @@
             min_outage: heartbeat.mul_f64(MIN_OUTAGE_INTERVALS),
             last_contact: None,
             failing_since: None,
+            has_response: false,
             recovered_at: None,
         }
     }
@@ -50,6 +54,7 @@
     /// Records that this daemon no longer calls the store.
     pub fn stop_calls(&mut self) {
         self.failing_since = None;
+        self.has_response = false;
     }
 
     /// Records a response to this daemon. Without any earlier one an outage may have preceded it.
@@ -58,14 +63,16 @@
         if self.is_out_of_reach() && self.is_in_grace(self.last_contact) {
             self.recovered_at = Some(now);
         }
-        self.failing_since = None;
         self.record_contact(now, now);
+        self.failing_since = None;
+        self.has_response = true;
     }
 
     /// Records that at a time the store responded to a daemon that knows of no outage. A daemon that was
     /// cut off from all others does not know what happened before.
     pub fn record_contact(&mut self, at: Instant, now: Instant) {
-        if self.is_overdue(now) {
+        let is_served = self.has_response && !self.is_unreachable();
+        if self.is_overdue(now) && !is_served {
             self.recovered_at = Some(now);
         }
         self.last_contact = self.last_contact.max(Some(at));
--- a/tests/mesh/store_outage.rs
+++ b/tests/mesh/store_outage.rs
@@ -277,6 +277,25 @@
     }
 }
 
+/// Guards against requests to a server that has left, since the store responds so slowly that its responses
+/// are as far apart as in an outage.
+#[test]
+fn slow_store_is_no_outage() {
+    let mut fleet = Fleet::start(&[0, 1]);
+    for _ in 0..5 {
+        fleet.run(Duration::from_secs(3), &[]);
+        fleet.run(STEP, &[0, 1]);
+    }
+    fleet.run(Duration::from_secs(3), &[]);
+    fleet.remove("a");
+    for reader in [0, 1] {
+        fleet.read(reader);
+        assert!(!fleet.users("a").contains(&reader));
+    }
+    fleet.deliver_all();
+    assert_eq!(fleet.users("a"), [0; 0]);
+}
+
 /// Guards against a removal that waits since the daemons that read the store were killed, and another one
 /// starts to read.
 #[test]
