--- a/tests/mesh/reader_election.rs
+++ b/tests/mesh/reader_election.rs
@@ -308,6 +308,22 @@
     assert!(gap.needs_full_sync(position(11), true, clock.now()));
 }
 
+/// Guards against requests to a server that has announced its leaving, from a daemon that missed the
+/// announcement and does not notice: a peer that lacks even more sends its load, too.
+#[test]
+fn gap_is_detected_beside_a_peer_that_lacks_more() {
+    let clock = ManualClock::new();
+    let mut gap = UpdateGap::default();
+    gap.mark_complete(position(10));
+    let is_detected = (0..20).any(|_| {
+        clock.advance(Duration::from_millis(100));
+        let is_detected = gap.needs_full_sync(position(11), false, clock.now());
+        gap.needs_full_sync(position(3), false, clock.now());
+        is_detected
+    });
+    assert!(is_detected, "no request within 2 s");
+}
+
 fn ready(id: &str, revision: u64) -> VersionedEntry {
     VersionedEntry {
         id: id.into(),
