--- a/tests/mesh/restored_store.rs
+++ b/tests/mesh/restored_store.rs
@@ -441,7 +441,7 @@
     assert_eq!(model.daemons[0].state.store_status().contact_age, age);
     let mut bytes = BytesMut::new();
     PeerFrame::Load(model.daemons[0].state.update_plan()).encode(&mut bytes);
-    // The age takes three bytes, and the flag before it one.
+    // The age takes three bytes with the flag before it.
     let mut earlier = BytesMut::from(&bytes[..bytes.len() - 3]);
     let length = (earlier.len() - 4) as u32;
     earlier[..4].copy_from_slice(&length.to_be_bytes());
